Serve calls by an accepted catalogue, as separate processes

Cause: nothing ran yet; every later measurement needs the whole path. Change: the workspace of seven packages, a node with proxy, mesh links and a reader of the head row, the command 'gentianlink catalogue apply', stand-ins of platform and target, and a demonstration of Kingston's 5+3+3 targets over three data centres. Ruled out: mixing reads and iteration on one grpc stream (the library refuses it, the task died without a trace); tasks now log their failures.

--- /dev/null
+++ b/.ci/check_dependencies.py
@@ -0,0 +1,82 @@
+"""Check that imports between the workspace packages go in one direction."""
+
+import ast
+import pathlib
+import sys
+
+ALLOWED_IMPORTS = {
+    "core": {"core"},
+    "parser": {"core", "parser"},
+    "ops": {"core", "ops"},
+    "platform": {"core", "ops", "platform"},
+    "node": {"core", "parser", "ops", "platform", "node"},
+    "tools": {"core", "parser", "ops", "platform", "tools"},
+    "testing": {"core", "parser", "ops", "platform", "node", "tools", "testing"},
+}
+
+
+def get_imported_names(source):
+    """Return the dotted names that a module's source imports.
+
+    Parameters
+    ----------
+    source : str
+        Text of a Python module.
+
+    Returns
+    -------
+    list of str
+        Every imported module name.
+    """
+    names = []
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Import):
+            names.extend(alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names.append(node.module)
+    return names
+
+
+def validate_package(package, root):
+    """Return one message for each import that a package may not have.
+
+    Parameters
+    ----------
+    package : str
+        Name of the workspace package.
+    root : pathlib.Path
+        Directory of the workspace packages.
+
+    Returns
+    -------
+    list of str
+        Messages, empty if every import is allowed.
+    """
+    messages = []
+    for path in sorted((root / package).rglob("*.py")):
+        is_test = path.name.startswith("test_") or path.name == "conftest.py"
+        for name in get_imported_names(path.read_text()):
+            parts = name.split(".")
+            if parts[0] != "gentianlink" or len(parts) < 2:
+                continue
+            if is_test and parts[1] == "testing":
+                continue
+            if parts[1] not in ALLOWED_IMPORTS[package]:
+                messages.append(f"{path}: {package} may not import {name}")
+    return messages
+
+
+def main():
+    """Print every forbidden import and exit with 1 if there is one."""
+    root = pathlib.Path(__file__).parent.parent / "packages"
+    messages = []
+    for package in ALLOWED_IMPORTS:
+        messages.extend(validate_package(package, root))
+    for message in messages:
+        print(message)
+    print(f"dependency direction: {len(messages)} problems")
+    sys.exit(1 if messages else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/core/src/gentianlink/core/headers.py
@@ -0,0 +1,11 @@
+"""Names of the HTTP headers of the contract with callers and targets."""
+
+DEADLINE_MS = "X-Gentianlink-Deadline-Ms"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+OUTCOME = "X-Gentianlink-Outcome"
+REASON = "X-Gentianlink-Reason"
+RETRY_AFTER_MS = "X-Gentianlink-Retry-After-Ms"
+ATTEMPT = "X-Gentianlink-Attempt"
+TARGET = "X-Gentianlink-Target"
+FREE_SLOTS = "X-Gentianlink-Free-Slots"
+VERSION = "X-Gentianlink-Version"
--- /dev/null
+++ b/packages/core/src/gentianlink/core/limits.py
@@ -0,0 +1,31 @@
+"""Limits of a catalogue entry."""
+
+import attrs
+
+
+@attrs.frozen
+class Limits:
+    """Limits that a node enforces for the calls of one entry.
+
+    Attributes
+    ----------
+    rate : float
+        Calls per second admitted at each node; 0 for no limit.
+    concurrency : int
+        Calls in flight at each node; 0 for no limit.
+    queue : int
+        Calls that may wait for a slot at the node beside a target.
+    deadline_ms : int
+        Deadline in milliseconds for calls that carry none.
+    retries : int
+        Further attempts after the first one.
+    body_max_bytes : int
+        Largest request body in bytes.
+    """
+
+    rate: float = 0.0
+    concurrency: int = 0
+    queue: int = 20
+    deadline_ms: int = 1000
+    retries: int = 1
+    body_max_bytes: int = 1_048_576
--- /dev/null
+++ b/packages/core/src/gentianlink/core/reason.py
@@ -0,0 +1,27 @@
+"""Reasons for which a call is not answered by a target."""
+
+import enum
+
+
+class Reason(enum.Enum):
+    """Why a call was refused or has an unknown outcome."""
+
+    NO_ROUTE = "no-route"
+    NO_TARGET = "no-target"
+    BAD_DEADLINE = "bad-deadline"
+    BAD_KEY = "bad-key"
+    KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    KEY_IN_PROGRESS = "key-in-progress"
+    BODY_TOO_LARGE = "body-too-large"
+    RATE_LIMIT = "rate-limit"
+    CONCURRENCY_LIMIT = "concurrency-limit"
+    OVERLOADED = "overloaded"
+    DEADLINE_PASSED = "deadline-passed"
+    DRAINING = "draining"
+    NOT_READY = "not-ready"
+    STORE_UNAVAILABLE = "store-unavailable"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_LOST = "target-lost"
+    TARGET_SILENT = "target-silent"
+    WRONG_NODE = "wrong-node"
--- /dev/null
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -0,0 +1,75 @@
+"""Settings of a node: plain data with what is allowed for each key."""
+
+import attrs
+
+from gentianlink.core.setting import address_list, choice, integer, text, url
+
+
+@attrs.frozen
+class NodeSettings:
+    """Section ``node``: who this process is."""
+
+    id: str = text()
+    region: str = text()
+    data_centre: str = text()
+
+
+@attrs.frozen
+class ListenSettings:
+    """Section ``listen``: where this process listens."""
+
+    address: str = text()
+    call_port: int = integer(1, 65535)
+    mesh_port: int = integer(1, 65535)
+    admin_port: int = integer(1, 65535)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Section ``platform``: the table service and the object store."""
+
+    table_url: str = url()
+    object_url: str = url()
+    timeout_ms: int = integer(10, 60_000, default=1000)
+
+
+@attrs.frozen
+class MeshSettings:
+    """Section ``mesh``: links to other nodes and reading of the head row."""
+
+    seeds: tuple[str, ...] = address_list(default=())
+    links_inside: int = integer(1, 64, default=3)
+    links_across: int = integer(0, 64, default=2)
+    readers: int = integer(1, 64, default=2)
+    poll_ms: int = integer(20, 60_000, default=200)
+    heartbeat_ms: int = integer(20, 60_000, default=1000)
+    anti_entropy_ms: int = integer(50, 600_000, default=5000)
+
+
+@attrs.frozen
+class CallSettings:
+    """Section ``calls``: the proxy."""
+
+    connections: int = integer(1, 10_000, default=130)
+    connect_timeout_ms: int = integer(1, 60_000, default=250)
+    silence_timeout_ms: int = integer(10, 600_000, default=5000)
+    target_lease_ms: int = integer(100, 600_000, default=3000)
+
+
+@attrs.frozen
+class LogSettings:
+    """Section ``log``: structured logs on standard error."""
+
+    level: str = choice("debug", "info", "warning", "error", default="info")
+
+
+@attrs.frozen
+class Settings:
+    """All settings of a node, one attribute for each section."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    mesh: MeshSettings
+    calls: CallSettings
+    log: LogSettings
--- /dev/null
+++ b/packages/node/src/gentianlink/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each target: proxy, member of the mesh, client of the platform."""
--- /dev/null
+++ b/packages/node/src/gentianlink/node/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Links between nodes: catalogue versions and membership travel over them."""
--- /dev/null
+++ b/packages/node/src/gentianlink/node/mesh/convert.py
@@ -0,0 +1,102 @@
+"""Convert between messages of the mesh and the data types."""
+
+from gentianlink.core.errors import CodecError
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.node_state import NodeState
+from gentianlink.core.target_record import TargetRecord
+from gentianlink.core.target_state import TargetState
+from gentianlink.node.mesh import mesh_pb2
+
+MAX_PORT = 65535
+
+
+def encode_node(record):
+    """Return the message for a node record."""
+    return mesh_pb2.NodeRecord(
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        region=record.region,
+        data_centre=record.data_centre,
+        address=record.address,
+        call_port=record.call_port,
+        mesh_port=record.mesh_port,
+        admin_port=record.admin_port,
+        state=record.state.value,
+    )
+
+
+def decode_node(message):
+    """Return the node record of a message.
+
+    Raises
+    ------
+    CodecError
+        If the message has no name, an unknown state or an impossible port.
+    """
+    ports = (message.call_port, message.mesh_port, message.admin_port)
+    if not message.node_id or not all(0 < port <= MAX_PORT for port in ports):
+        raise CodecError("not a node record")
+    try:
+        state = NodeState(message.state)
+    except ValueError as error:
+        raise CodecError("not a node state") from error
+    return NodeRecord(
+        node_id=message.node_id,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        region=message.region,
+        data_centre=message.data_centre,
+        address=message.address,
+        call_port=message.call_port,
+        mesh_port=message.mesh_port,
+        admin_port=message.admin_port,
+        state=state,
+    )
+
+
+def encode_target(record):
+    """Return the message for a target record."""
+    return mesh_pb2.TargetRecord(
+        service=record.service,
+        target_id=record.target_id,
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        state=record.state.value,
+        slots=record.slots,
+    )
+
+
+def decode_target(message):
+    """Return the target record of a message.
+
+    Raises
+    ------
+    CodecError
+        If the message lacks a name or has an unknown state.
+    """
+    if not (message.service and message.target_id and message.node_id):
+        raise CodecError("not a target record")
+    try:
+        state = TargetState(message.state)
+    except ValueError as error:
+        raise CodecError("not a target state") from error
+    return TargetRecord(
+        service=message.service,
+        target_id=message.target_id,
+        node_id=message.node_id,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        state=state,
+        slots=message.slots,
+    )
+
+
+def encode_records(nodes, targets):
+    """Return the frame for records of nodes and targets."""
+    records = mesh_pb2.Records(
+        nodes=[encode_node(record) for record in nodes],
+        targets=[encode_target(record) for record in targets],
+    )
+    return mesh_pb2.Frame(records=records)
--- /dev/null
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -0,0 +1,35 @@
+"""Metrics of a node."""
+
+from aioprometheus import REGISTRY, Gauge
+
+
+class NodeMetrics:
+    """Gauges that the admin port serves."""
+
+    def __init__(self):
+        REGISTRY.clear()
+        self._version = Gauge(
+            "gentianlink_applied_version", "Catalogue version in force."
+        )
+        self._links = Gauge("gentianlink_links", "Links to neighbours.")
+        self._calls = Gauge("gentianlink_calls", "Calls by outcome.")
+        self._in_flight = Gauge("gentianlink_calls_in_flight", "Calls being handled.")
+        self._platform = Gauge(
+            "gentianlink_platform_requests", "Requests to the platform by kind."
+        )
+
+    def update(self, status):
+        """Take over the numbers of a status.
+
+        Parameters
+        ----------
+        status : NodeStatus
+            State of the node.
+        """
+        self._version.set({}, status.version)
+        self._links.set({}, len(status.links))
+        self._in_flight.set({}, status.in_flight)
+        for outcome, count in status.outcomes.items():
+            self._calls.set({"outcome": outcome}, count)
+        self._platform.set({"kind": "read"}, status.platform_reads)
+        self._platform.set({"kind": "write"}, status.platform_writes)
--- /dev/null
+++ b/packages/node/src/gentianlink/node/node.py
@@ -0,0 +1,245 @@
+"""Put the parts of a node together, run them, and stop them gracefully."""
+
+import asyncio
+
+from gentianlink.core.codec import encode
+from gentianlink.core.errors import PlatformError
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.routing_table import RoutingTable
+from gentianlink.node.admin import start_admin_server
+from gentianlink.node.applied_catalogue import AppliedCatalogue
+from gentianlink.node.background import start_task
+from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.head_reader import HeadReader
+from gentianlink.node.log import get_logger
+from gentianlink.node.membership import Membership
+from gentianlink.node.mesh.mesh import Mesh
+from gentianlink.node.mesh.server import start_mesh_server
+from gentianlink.node.mesh.topology import Topology
+from gentianlink.node.metrics import NodeMetrics
+from gentianlink.node.node_status import NodeStatus
+from gentianlink.node.proxy.claim_store import ClaimStore
+from gentianlink.node.proxy.connection_pool import ConnectionPool
+from gentianlink.node.proxy.dispatcher import Dispatcher
+from gentianlink.node.proxy.load_view import LoadView
+from gentianlink.node.proxy.local_targets import LocalTargets
+from gentianlink.node.proxy.router import Router
+from gentianlink.node.proxy.server import CallServer
+from gentianlink.ops.build_table import build_table
+from gentianlink.platform.catalogue_store import CatalogueStore
+from gentianlink.platform.names import NODE_PREFIX, get_node_key
+from gentianlink.platform.object_client import ObjectClient
+from gentianlink.platform.table_client import TableClient
+
+_LOG = get_logger("node")
+
+EXPIRE_PERIOD_S = 0.2
+JOIN_SCAN_ROWS = 64
+
+
+class Node:
+    """One process of the system.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._table = RoutingTable()
+        self._is_stopping = False
+        self._tasks = []
+        own_record = make_own_record(settings, get_now_ms())
+        self._platform_table = TableClient.from_settings(settings.platform)
+        objects = ObjectClient.from_settings(settings.platform)
+        store = CatalogueStore(self._platform_table, objects)
+        self._applied = AppliedCatalogue(self._on_applied)
+        self._membership = Membership(own_record, self._on_records)
+        self._mesh = Mesh(self._applied, self._membership)
+        self._topology = Topology(self._mesh, self._membership, settings.mesh)
+        self._reader = HeadReader(store, self._applied, self._membership, settings.mesh)
+        self._local_targets = LocalTargets(
+            self._membership, settings.calls.target_lease_ms
+        )
+        self._pool = ConnectionPool.from_settings(settings.calls)
+        claims = ClaimStore(self._platform_table, own_record)
+        dispatcher = Dispatcher(self._local_targets, self._pool, claims)
+        router = Router(own_record, dispatcher, self._pool, LoadView())
+        self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
+        self._metrics = NodeMetrics()
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Return a node for checked settings."""
+        return cls(settings)
+
+    @property
+    def applied(self):
+        """Catalogue version in force."""
+        return self._applied
+
+    @property
+    def local_targets(self):
+        """Targets beside this node."""
+        return self._local_targets
+
+    def get_table(self):
+        """Return the current routing table."""
+        return self._table
+
+    def is_ready(self):
+        """Return whether this node may serve calls."""
+        return self._reader.has_read and not self._is_stopping
+
+    def get_status(self):
+        """Return what this node says of itself."""
+        own = self._membership.own_record
+        return NodeStatus(
+            node_id=own.node_id,
+            data_centre=own.data_centre,
+            ready=self.is_ready(),
+            version=self._applied.version,
+            digest=self._applied.digest,
+            applied_ms=self._applied.applied_ms,
+            links=tuple(sorted(self._mesh.links)),
+            nodes=len(self._membership.get_live_nodes()),
+            endpoints={
+                prefix: len(route.endpoints)
+                for prefix, route in self._table.routes.items()
+            },
+            in_flight=self._calls.in_flight,
+            outcomes={
+                outcome.value: count for outcome, count in self._calls.outcomes.items()
+            },
+            platform_reads=self._platform_table.reads,
+            platform_writes=self._platform_table.writes,
+        )
+
+    def update_metrics(self):
+        """Bring the metrics up to date."""
+        self._metrics.update(self.get_status())
+
+    def _on_applied(self):
+        self._rebuild_table()
+        self._mesh.spread_version()
+        _LOG.info("version in force", version=self._applied.version)
+
+    def _on_records(self, nodes, targets, source):
+        self._rebuild_table()
+        self._mesh.spread_records(nodes, targets, source)
+
+    def _rebuild_table(self):
+        self._table = build_table(
+            self._applied.catalogue, self._membership.nodes, self._membership.targets
+        )
+
+    async def run(self, stop_requested):
+        """Run until asked to stop, then stop without cutting a call.
+
+        Parameters
+        ----------
+        stop_requested : asyncio.Event
+            Set when the node should stop.
+        """
+        listen = self._settings.listen
+        mesh_server = await start_mesh_server(
+            self._mesh, listen.address, listen.mesh_port
+        )
+        start_admin_server(self, listen.address, listen.admin_port)
+        self._calls.listen(listen.address, listen.call_port)
+        for work in (
+            self._reader.run(),
+            self._run_topology(),
+            self._run_heartbeats(),
+            self._run_expiry(),
+            self._publish_own_row(),
+        ):
+            self._tasks.append(start_task(work, work.__qualname__))
+        _LOG.info("node started", node=self._settings.node.id)
+        await stop_requested.wait()
+        await self._stop(mesh_server)
+
+    async def _stop(self, mesh_server):
+        _LOG.info("node stopping")
+        self._local_targets.drain_all()
+        await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+        self._is_stopping = True
+        self._calls.stop_listening()
+        await self._calls.wait_idle()
+        for task in self._tasks:
+            task.cancel()
+        self._topology.close()
+        self._pool.close()
+        await mesh_server.stop(0.1)
+        _LOG.info("node stopped")
+
+    async def _run_topology(self):
+        while True:
+            addresses = ()
+            if not self._mesh.links:
+                addresses = await self._find_addresses()
+            self._topology.update(addresses)
+            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+
+    async def _find_addresses(self):
+        try:
+            rows = await self._platform_table.scan(NODE_PREFIX, limit=JOIN_SCAN_ROWS)
+        except PlatformError:
+            return ()
+        return tuple(row.value for row in rows)
+
+    async def _run_heartbeats(self):
+        while True:
+            self._mesh.send_heartbeats()
+            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+
+    async def _run_expiry(self):
+        while True:
+            self._local_targets.expire(get_monotonic_ms())
+            await asyncio.sleep(EXPIRE_PERIOD_S)
+
+    async def _publish_own_row(self):
+        own = self._membership.own_record
+        key = get_node_key(own.data_centre, own.node_id)
+        address = f"{own.address}:{own.mesh_port}"
+        while True:
+            try:
+                await self._platform_table.transact([(key, address)])
+                return
+            except PlatformError:
+                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+
+
+def make_own_record(settings, now_ms):
+    """Return the record of this node.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    now_ms : int
+        Present time in milliseconds since the epoch, used as incarnation.
+
+    Returns
+    -------
+    NodeRecord
+        The record.
+    """
+    return NodeRecord(
+        node_id=settings.node.id,
+        incarnation=now_ms,
+        sequence=1,
+        region=settings.node.region,
+        data_centre=settings.node.data_centre,
+        address=settings.listen.address,
+        call_port=settings.listen.call_port,
+        mesh_port=settings.listen.mesh_port,
+        admin_port=settings.listen.admin_port,
+    )
+
+
+def format_settings(settings):
+    """Return the settings as one line of JSON."""
+    return encode(settings).decode()
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy: routes calls, guards the local target, tells outcomes."""
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/answer_writer.py
@@ -0,0 +1,152 @@
+"""Write one answer to a caller: a target's, streamed, or a refusal."""
+
+import math
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+from tornado.iostream import StreamClosedError
+
+from gentianlink.core import headers as names
+from gentianlink.core.outcome import Outcome
+from gentianlink.node.proxy.errors import CallerGone
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+MS_PER_S = 1000
+
+
+class AnswerWriter:
+    """The caller's side of one exchange.
+
+    Parameters
+    ----------
+    connection : HTTP1Connection
+        Connection of the caller.
+    """
+
+    def __init__(self, connection: HTTP1Connection):
+        self._connection = connection
+        self._is_started = False
+
+    @property
+    def is_started(self):
+        """Whether a part of an answer was written."""
+        return self._is_started
+
+    async def start(self, status, headers, chunk=b""):
+        """Write the status line and the headers.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : HTTPHeaders
+            Headers of the answer.
+        chunk : bytes, optional
+            First part of the body.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection.
+        """
+        self._is_started = True
+        line = ResponseStartLine("", status, responses.get(status, "Unknown"))
+        try:
+            await self._connection.write_headers(line, headers, chunk)
+        except StreamClosedError as error:
+            raise CallerGone from error
+
+    async def write(self, chunk):
+        """Write a part of the body and wait until it has left.
+
+        Parameters
+        ----------
+        chunk : bytes
+            Part of the body.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection.
+        """
+        try:
+            await self._connection.write(chunk)
+        except StreamClosedError as error:
+            raise CallerGone from error
+
+    def finish(self):
+        """End the answer; the caller has all of it."""
+        self._connection.finish()
+
+    def cut(self):
+        """Close the connection, so that half an answer can't look whole."""
+        self._connection.close()
+
+    async def refuse(self, refusal):
+        """Write a refusal as the whole answer.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            What to tell the caller.
+        """
+        headers = HTTPHeaders()
+        headers[names.OUTCOME] = refusal.outcome.value
+        headers[names.REASON] = refusal.reason.value
+        headers["Content-Type"] = "text/plain"
+        if refusal.retry_after_ms:
+            headers[names.RETRY_AFTER_MS] = str(refusal.retry_after_ms)
+            headers["Retry-After"] = str(math.ceil(refusal.retry_after_ms / MS_PER_S))
+        body = f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
+        headers["Content-Length"] = str(len(body))
+        await self.start(refusal.status, headers, body)
+        self.finish()
+
+
+def copy_headers(headers):
+    """Return the end-to-end headers of a message.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers that arrived.
+
+    Returns
+    -------
+    HTTPHeaders
+        Headers without those that concern one connection only.
+    """
+    listed = headers.get("Connection", "").lower().split(",")
+    dropped = HOP_BY_HOP.union(name.strip() for name in listed)
+    copied = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() not in dropped:
+            copied.add(name, value)
+    return copied
+
+
+def mark_done(headers, version):
+    """Say in the headers of a target's answer that the call was done.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers of the answer; changed in place.
+    version : int
+        Catalogue version in force.
+    """
+    if names.OUTCOME not in headers:
+        headers[names.OUTCOME] = Outcome.DONE.value
+    headers[names.VERSION] = str(version)
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/local_target.py
@@ -0,0 +1,37 @@
+"""A target beside this node."""
+
+import attrs
+
+from gentianlink.core.target_state import TargetState
+from gentianlink.node.proxy.gate import Gate
+
+
+@attrs.define
+class LocalTarget:
+    """A target that announced itself to this node.
+
+    Attributes
+    ----------
+    service : str
+        Service of the target.
+    target_id : str
+        Name of the target.
+    address : str
+        IP number of the target.
+    port : int
+        TCP port of the target.
+    state : TargetState
+        State that the target announced last.
+    gate : Gate
+        Its slots and queue.
+    expires_ms : float
+        End of its lease on the monotonic clock in milliseconds.
+    """
+
+    service: str
+    target_id: str
+    address: str
+    port: int
+    state: TargetState
+    gate: Gate
+    expires_ms: float
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/refusal.py
@@ -0,0 +1,46 @@
+"""A final answer that a node gives in place of a target."""
+
+import attrs
+
+from gentianlink.core.outcome import Outcome
+from gentianlink.core.reason import Reason
+
+STATUS_BY_REASON = {
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_DEADLINE: 400,
+    Reason.BAD_KEY: 400,
+    Reason.KEY_REQUIRED: 400,
+    Reason.KEY_REUSED: 422,
+    Reason.KEY_IN_PROGRESS: 409,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.RATE_LIMIT: 429,
+    Reason.CONCURRENCY_LIMIT: 429,
+    Reason.DEADLINE_PASSED: 504,
+    Reason.TARGET_LOST: 502,
+    Reason.TARGET_SILENT: 504,
+}
+STATUS_UNAVAILABLE = 503
+
+
+@attrs.frozen
+class Refusal:
+    """Why a call was not answered by a target, and when to come back.
+
+    Attributes
+    ----------
+    reason : Reason
+        Why.
+    outcome : Outcome
+        Whether the call truly was not run, or this is unknown.
+    retry_after_ms : int
+        Time after which another try is worth it; 0 if it never is.
+    """
+
+    reason: Reason
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_ms: int = 0
+
+    @property
+    def status(self):
+        """HTTP status of the answer."""
+        return STATUS_BY_REASON.get(self.reason, STATUS_UNAVAILABLE)
--- /dev/null
+++ b/packages/parser/src/gentianlink/parser/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of the files that people write: settings and catalogues."""
--- /dev/null
+++ b/packages/platform/src/gentianlink/platform/names.py
@@ -0,0 +1,31 @@
+"""Names of rows and objects on the platform."""
+
+HEAD_KEY = "catalogue/head"
+CHANGE_PREFIX = "catalogue/change/"
+CHANGE_ID_PREFIX = "catalogue/change-id/"
+NODE_PREFIX = "node/"
+
+
+def get_change_key(version):
+    """Return the key of the audit row of a version."""
+    return f"{CHANGE_PREFIX}{version:012d}"
+
+
+def get_change_id_key(change_id):
+    """Return the key of the row that says which version a change id made."""
+    return f"{CHANGE_ID_PREFIX}{change_id}"
+
+
+def get_snapshot_name(version, digest):
+    """Return the name of the object with the whole of a version."""
+    return f"catalogue/snapshot/{version:012d}-{digest}"
+
+
+def get_delta_name(version, digest):
+    """Return the name of the object with the delta to a version."""
+    return f"catalogue/delta/{version:012d}-{digest}"
+
+
+def get_node_key(data_centre, node_id):
+    """Return the key of the row by which a node can be found."""
+    return f"{NODE_PREFIX}{data_centre}/{node_id}"
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -0,0 +1,207 @@
+"""Start a small deployment as separate processes on this machine."""
+
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+import attrs
+
+NODE_SETTINGS = """\
+[node]
+id = {node_id}
+region = {region}
+data_centre = {data_centre}
+
+[listen]
+address = {address}
+call_port = {call_port}
+mesh_port = {mesh_port}
+admin_port = {admin_port}
+
+[platform]
+table_url = {platform_url}/table
+object_url = {platform_url}/objects
+"""
+STOP_TIMEOUT_S = 20
+
+
+@attrs.define
+class Member:
+    """A node and the target beside it.
+
+    Attributes
+    ----------
+    node_id : str
+        Name of the node.
+    service : str
+        Service of the target.
+    data_centre : str
+        Data centre of both.
+    address : str
+        Loopback IP number of both.
+    call_port, mesh_port, admin_port, target_port : int
+        TCP ports.
+    node, target : subprocess.Popen or None
+        The processes.
+    """
+
+    node_id: str
+    service: str
+    data_centre: str
+    address: str
+    call_port: int
+    mesh_port: int
+    admin_port: int
+    target_port: int
+    node: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+
+    @property
+    def call_url(self):
+        """Address for calls."""
+        return f"http://{self.address}:{self.call_port}"
+
+    @property
+    def admin_url(self):
+        """Address of the admin port."""
+        return f"http://{self.address}:{self.admin_port}"
+
+
+def get_free_ports(address, count):
+    """Return TCP ports that are free at the moment.
+
+    Parameters
+    ----------
+    address : str
+        Loopback IP number.
+    count : int
+        Number of ports.
+
+    Returns
+    -------
+    list of int
+        The ports.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((address, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Fleet:
+    """Processes of a deployment: the platform stand-in, nodes and targets.
+
+    Parameters
+    ----------
+    region : str
+        Region of all members.
+    """
+
+    def __init__(self, region):
+        self._region = region
+        self._directory = tempfile.TemporaryDirectory(prefix="gentianlink-")
+        self._platform = None
+        self._platform_port = get_free_ports("127.0.0.1", 1)[0]
+        self._log = open(pathlib.Path(self._directory.name) / "log", "wb")
+        self.members = []
+
+    @property
+    def platform_url(self):
+        """Address of the platform stand-in."""
+        return f"http://127.0.0.1:{self._platform_port}"
+
+    @property
+    def log_path(self):
+        """File with the logs of all processes."""
+        return pathlib.Path(self._log.name)
+
+    def start_platform(self):
+        """Start the platform stand-in."""
+        arguments = ("127.0.0.1", str(self._platform_port))
+        module = "gentianlink.testing.platform_service"
+        self._platform = self._start([sys.executable, "-m", module, *arguments])
+
+    def add_member(self, service, number, data_centre_number):
+        """Add a node and its target without starting them.
+
+        Parameters
+        ----------
+        service : str
+            Service of the target.
+        number : int
+            Number of the member within the service.
+        data_centre_number : int
+            Number of the data centre, from 1.
+
+        Returns
+        -------
+        Member
+            The member.
+        """
+        address = f"127.0.{data_centre_number}.1"
+        ports = get_free_ports(address, 4)
+        data_centre = f"{self._region}-{data_centre_number}"
+        name = f"{service}-{number}"
+        member = Member(name, service, data_centre, address, *ports)
+        self.members.append(member)
+        return member
+
+    def start_node(self, member):
+        """Start the node of a member."""
+        path = pathlib.Path(self._directory.name) / f"{member.node_id}.ini"
+        values = attrs.asdict(member, recurse=False)
+        text = NODE_SETTINGS.format(
+            region=self._region, platform_url=self.platform_url, **values
+        )
+        path.write_text(text)
+        binary = pathlib.Path(sys.executable).parent / "gentianlink-node"
+        member.node = self._start([str(binary), str(path)])
+
+    def start_target(self, member, slots, work_ms):
+        """Start the target of a member."""
+        module = "gentianlink.testing.target"
+        command = [sys.executable, "-m", module, member.service]
+        command += [f"target-{member.node_id}", str(member.target_port)]
+        command += [member.admin_url, "--address", member.address]
+        command += ["--slots", str(slots), "--work-ms", str(work_ms)]
+        member.target = self._start(command)
+
+    def _start(self, command):
+        return subprocess.Popen(command, stdout=self._log, stderr=self._log)
+
+    def stop(self):
+        """Stop all processes gracefully, then remove the settings files."""
+        groups = (
+            [member.target for member in self.members],
+            [member.node for member in self.members],
+            [self._platform],
+        )
+        for group in groups:
+            running = [process for process in group if process is not None]
+            for process in running:
+                process.send_signal(signal.SIGTERM)
+            for process in running:
+                wait_or_kill(process)
+        self._log.close()
+        self._directory.cleanup()
+
+
+def wait_or_kill(process):
+    """Wait for a process; kill it if it does not end in time.
+
+    Parameters
+    ----------
+    process : subprocess.Popen
+        The process.
+    """
+    try:
+        process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/target.py
@@ -0,0 +1,176 @@
+"""Stand-in of a target: slots, drain, and announcements to the node beside it."""
+
+import asyncio
+import collections
+import os
+import signal
+
+import attrs
+import orjson
+import typer
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from gentianlink.core.announcement import Announcement
+from gentianlink.core.codec import encode
+from gentianlink.core.target_state import TargetState
+
+HEARTBEAT_S = 0.5
+DRAIN_S = 1.0
+
+
+@attrs.define
+class TargetProcess:
+    """State of the stand-in."""
+
+    service: str
+    target_id: str
+    address: str
+    port: int
+    slots: int
+    work_ms: float
+    node_url: str
+    state: TargetState = TargetState.STARTING
+    in_flight: int = 0
+    executions: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def make_announcement(self):
+        """Return what the target says to the node beside it."""
+        return Announcement(
+            service=self.service,
+            target_id=self.target_id,
+            port=self.port,
+            slots=self.slots,
+            state=self.state.value,
+            address=self.address,
+        )
+
+    async def announce(self):
+        """Send an announcement or heartbeat; a node that is down is tried later."""
+        url = f"{self.node_url}/v1/targets"
+        body = encode(self.make_announcement())
+        try:
+            await AsyncHTTPClient().fetch(url, method="POST", body=body)
+        except (HTTPClientError, OSError):
+            return
+
+
+class WorkHandler(RequestHandler):
+    """Does the work of calls."""
+
+    def initialize(self, process):
+        """Take over the state of the stand-in."""
+        self._process = process
+
+    async def _work(self):
+        process = self._process
+        key = self.request.headers.get("Idempotency-Key", "")
+        process.in_flight += 1
+        process.executions[key] += 1
+        try:
+            await asyncio.sleep(process.work_ms / 1000)
+            size = int(self.request.headers.get("X-Answer-Bytes", "0"))
+            if size:
+                await self._stream(size)
+                return
+            answer = {
+                "target": process.target_id,
+                "echo": self.request.headers.get("X-Request-Id", ""),
+            }
+            self.finish(orjson.dumps(answer))
+        finally:
+            process.in_flight -= 1
+
+    async def _stream(self, size):
+        chunk = b"x" * 65536
+        self.set_header("Content-Length", str(size))
+        while size > 0:
+            self.write(chunk[:size])
+            size -= len(chunk)
+            await self.flush()
+
+    get = _work
+    post = _work
+    put = _work
+
+
+class CountsHandler(WorkHandler):
+    """Says how often each key was executed."""
+
+    def get(self):
+        """Answer with the executions by key."""
+        process = self._process
+        self.finish(
+            orjson.dumps(
+                {"executions": process.executions, "in_flight": process.in_flight}
+            )
+        )
+
+
+async def run_target(process, stop_requested):
+    """Serve calls until asked to stop, then drain.
+
+    Parameters
+    ----------
+    process : TargetProcess
+        State of the stand-in.
+    stop_requested : asyncio.Event
+        Set when the target should stop.
+    """
+    arguments = {"process": process}
+    application = Application(
+        [
+            ("/stand-in/counts", CountsHandler, arguments),
+            ("/.*", WorkHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(application)
+    server.add_sockets(bind_sockets(process.port, process.address))
+    process.state = TargetState.READY
+    while not stop_requested.is_set():
+        await process.announce()
+        try:
+            await asyncio.wait_for(stop_requested.wait(), HEARTBEAT_S)
+        except TimeoutError:
+            continue
+    process.state = TargetState.DRAINING
+    await process.announce()
+    await asyncio.sleep(DRAIN_S)
+    while process.in_flight:
+        await asyncio.sleep(0.01)
+    process.state = TargetState.LEFT
+    await process.announce()
+
+
+async def _run(process):
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def request_stop():
+        if stop_requested.is_set():
+            os._exit(1)
+        stop_requested.set()
+
+    loop.add_signal_handler(signal.SIGTERM, request_stop)
+    await run_target(process, stop_requested)
+
+
+def main(
+    service: str,
+    target_id: str,
+    port: int,
+    node_url: str,
+    address: str = "127.0.0.1",
+    slots: int = 10,
+    work_ms: float = 5.0,
+):
+    """Run the stand-in as a process."""
+    process = TargetProcess(service, target_id, address, port, slots, work_ms, node_url)
+    asyncio.run(_run(process))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
