Resolve every failure while a change is accepted

Cause: a failed put of an object was told as "not known whether accepted"; a transaction that lands late could make a read-back that found nothing a false "not accepted"; statuses such as 502 and 504 after a transaction counted as "no effect"; an id could be reused for other content; a conflict did not say what came between.

Change: failures before the transaction are ChangeNotAccepted. ChangeConflict carries the changes in between.

Ruled out: trusting a read-back that finds nothing (the transaction may still land), and a fence row written by itself (one more write; sending the same transaction again fences as well and may also accept).

--- a/packages/core/src/gentianlink/core/errors.py
+++ b/packages/core/src/gentianlink/core/errors.py
@@ -84,3 +84,51 @@
 
 class ObjectNotFound(PlatformError):
     """The object store has no object of this name."""
+
+
+class ChangeNotAccepted(PlatformUnavailable):
+    """The platform failed before the change could be accepted; it never will be."""
+
+
+class ChangeOutcomeUnknown(PlatformOutcomeUnknown):
+    """A change may have been accepted, or may still be.
+
+    Parameters
+    ----------
+    change_id : str
+        Identifier of the change; repeating the request with it finds out.
+    """
+
+    def __init__(self, change_id):
+        super().__init__(f"repeat the change with the id {change_id} to find out")
+        self.change_id = change_id
+
+
+class ChangeConflict(WriteConflict):
+    """Another change was accepted first; this one was not and never will be.
+
+    Parameters
+    ----------
+    conflict : WriteConflict
+        Row that was found at another revision.
+    changes : tuple of Change or None
+        Changes accepted in between, None if they could not be read.
+    """
+
+    def __init__(self, conflict, changes):
+        super().__init__(conflict.key, conflict.revision)
+        self.changes = changes
+
+
+class ChangeIdReused(CatalogueError):
+    """The id of a change already names another accepted change.
+
+    Parameters
+    ----------
+    change : Change
+        Audit row of the accepted change.
+    """
+
+    def __init__(self, change):
+        super().__init__(f"{change.change_id} made version {change.version}")
+        self.change = change
--- a/packages/core/src/gentianlink/core/head.py
+++ b/packages/core/src/gentianlink/core/head.py
@@ -15,8 +15,11 @@
         Digest of that version.
     change_id : str
         Change that made the version.
+    when_ms : int
+        Time of the change in milliseconds since the epoch.
     """
 
     version: int = 0
     digest: str = ""
     change_id: str = ""
+    when_ms: int = 0
--- a/packages/platform/src/gentianlink/platform/change_request.py
+++ b/packages/platform/src/gentianlink/platform/change_request.py
@@ -15,8 +15,11 @@
         Operator.
     why : str
         Reason.
+    is_repeat : bool
+        Whether an earlier request with this id may still take effect.
     """
 
     change_id: str
     who: str
     why: str
+    is_repeat: bool = False
--- a/packages/platform/src/gentianlink/platform/http.py
+++ b/packages/platform/src/gentianlink/platform/http.py
@@ -12,6 +12,7 @@
 
 MAX_ANSWER_BYTES = 64 << 20
 STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
 
 
 async def send(method, url, timeout_ms, body=None):
@@ -38,7 +39,7 @@
     PlatformUnavailable
         If the request never reached the platform or was refused.
     PlatformOutcomeUnknown
-        If no answer came.
+        If no answer came, or one that does not say whether the request took effect.
     """
     client = AsyncHTTPClient(max_body_size=MAX_ANSWER_BYTES, max_clients=100)
     request = HTTPRequest(
@@ -56,8 +57,10 @@
         raise PlatformOutcomeUnknown(str(error)) from error
     except (HTTPClientError, OSError) as error:
         raise PlatformOutcomeUnknown(type(error).__name__) from error
-    if response.code >= STATUS_SERVER_ERROR:
+    if response.code == STATUS_UNAVAILABLE:
         raise PlatformUnavailable(f"status {response.code}")
+    if response.code >= STATUS_SERVER_ERROR:
+        raise PlatformOutcomeUnknown(f"status {response.code}")
     return response
 
 
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/fake_platform.py
@@ -0,0 +1,132 @@
+"""In-memory platform clients that fail at chosen calls, for focused tests."""
+
+import enum
+
+from gentianlink.core.errors import (
+    ObjectNotFound,
+    PlatformOutcomeUnknown,
+    PlatformUnavailable,
+    WriteConflict,
+)
+from gentianlink.platform.row import Row
+from gentianlink.testing.table_state import TableState
+
+
+class FakeFault(enum.Enum):
+    """What happens to one call of a fake client."""
+
+    REFUSED = "refused"
+    REQUEST_LOST = "request lost"
+    ANSWER_LOST = "answer lost"
+    DELAYED = "delayed"
+
+
+class FaultPlan:
+    """Faults by call number, counted over the clients that share the plan.
+
+    Parameters
+    ----------
+    faults : dict of int to FakeFault, optional
+        Faults by number of the call, from 1.
+    """
+
+    def __init__(self, faults=None):
+        self.faults = dict(faults or {})
+        self.calls = 0
+        self.delayed = []
+
+    def run(self, effect):
+        """Run one call with the fault planned for it.
+
+        Parameters
+        ----------
+        effect : callable
+            What the call does on the platform.
+
+        Returns
+        -------
+        object
+            Result of `effect`.
+        """
+        self.calls += 1
+        fault = self.faults.get(self.calls)
+        if fault is FakeFault.REFUSED:
+            raise PlatformUnavailable("refused")
+        if fault is FakeFault.REQUEST_LOST:
+            raise PlatformOutcomeUnknown("request lost")
+        if fault is FakeFault.DELAYED:
+            self.delayed.append(effect)
+            raise PlatformOutcomeUnknown("delayed")
+        result = effect()
+        if fault is FakeFault.ANSWER_LOST:
+            raise PlatformOutcomeUnknown("answer lost")
+        return result
+
+    def land_delayed(self):
+        """Let the delayed calls take effect now; conflicts change nothing."""
+        for effect in self.delayed:
+            try:
+                effect()
+            except WriteConflict:
+                continue
+        self.delayed.clear()
+
+
+class FakeTableClient:
+    """Table client over rows in memory.
+
+    Parameters
+    ----------
+    state : TableState
+        Rows, shared between clients.
+    plan : FaultPlan
+        Faults of this client's calls.
+    """
+
+    def __init__(self, state=None, plan=None):
+        self.state = state or TableState()
+        self.plan = plan or FaultPlan()
+
+    async def read(self, key):
+        """Read one row."""
+        return self.plan.run(lambda: Row(key, *self.state.read(key)))
+
+    async def transact(self, puts, checks=()):
+        """Write rows if each checked row is still at its revision."""
+        return self.plan.run(lambda: self._transact(puts, checks))
+
+    def _transact(self, puts, checks):
+        pairs = [(row.key, row.revision) for row in checks]
+        conflict, revision = self.state.transact(pairs, puts)
+        if conflict is not None:
+            raise WriteConflict(*conflict)
+        return revision
+
+
+class FakeObjectClient:
+    """Object client over a dictionary.
+
+    Parameters
+    ----------
+    state : dict of str to bytes
+        Objects, shared between clients.
+    plan : FaultPlan
+        Faults of this client's calls.
+    """
+
+    def __init__(self, state=None, plan=None):
+        self.state = {} if state is None else state
+        self.plan = plan or FaultPlan()
+
+    async def get(self, name):
+        """Read an object."""
+        return self.plan.run(lambda: self._get(name))
+
+    def _get(self, name):
+        if name not in self.state:
+            raise ObjectNotFound(name)
+        return self.state[name]
+
+    async def put(self, name, data):
+        """Write an object."""
+        return self.plan.run(lambda: self.state.__setitem__(name, data))
