--- a/packages/testing/src/gentianlink/testing/test_whole_path.py
+++ b/packages/testing/src/gentianlink/testing/test_whole_path.py
@@ -25,6 +25,8 @@
 
 
 class TestWholePath:
+    @pytest.mark.proves("in-force", "none", "accept")
+    @pytest.mark.proves("own-answer", "none", "answer")
     def test_accepted_change_governs_calls(self, fleet):
         async def run():
             await wait_for(fleet.members, lambda status: status["ready"])
