--- a/packages/testing/src/gentianlink/testing/fleet.py
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -121,6 +121,10 @@
         """File with the logs of all processes."""
         return pathlib.Path(self._log.name)
 
+    def get_execution_log_path(self, member):
+        """Return the file in which the member's target records executions."""
+        return pathlib.Path(self._directory.name) / f"target-{member.node_id}.log"
+
     def start_platform(self):
         """Start the platform stand-in."""
         arguments = ("127.0.0.1", str(self._platform_port))
@@ -170,6 +174,7 @@
         command += [f"target-{member.node_id}", str(member.target_port)]
         command += [member.admin_url, "--address", member.address]
         command += ["--slots", str(slots), "--work-ms", str(work_ms)]
+        command += ["--log-path", str(self.get_execution_log_path(member))]
         member.target = self._start(command)
 
     def _start(self, command):
--- a/packages/testing/src/gentianlink/testing/target.py
+++ b/packages/testing/src/gentianlink/testing/target.py
@@ -16,6 +16,8 @@
 from gentianlink.core.announcement import Announcement
 from gentianlink.core.codec import encode
 from gentianlink.core.target_state import TargetState
+from gentianlink.node.clock import get_now_ms
+from gentianlink.testing.execution_log import ExecutionLog
 
 HEARTBEAT_S = 0.5
 DRAIN_S = 1.0
@@ -32,6 +34,7 @@
     slots: int
     work_ms: float
     node_url: str
+    log: ExecutionLog
     state: TargetState = TargetState.STARTING
     in_flight: int = 0
     executions: collections.Counter = attrs.field(factory=collections.Counter)
@@ -69,6 +72,8 @@
         key = self.request.headers.get("Idempotency-Key", "")
         process.in_flight += 1
         process.executions[key] += 1
+        request_id = self.request.headers.get("X-Request-Id", "")
+        process.log.start(request_id, key, self.request.path, get_now_ms())
         try:
             await asyncio.sleep(process.work_ms / 1000)
             size = int(self.request.headers.get("X-Answer-Bytes", "0"))
@@ -77,10 +82,11 @@
                 return
             answer = {
                 "target": process.target_id,
-                "echo": self.request.headers.get("X-Request-Id", ""),
+                "echo": request_id,
             }
             self.finish(orjson.dumps(answer))
         finally:
+            process.log.end(request_id, get_now_ms())
             process.in_flight -= 1
 
     async def _stream(self, size):
@@ -166,9 +172,13 @@
     address: str = "127.0.0.1",
     slots: int = 10,
     work_ms: float = 5.0,
+    log_path: str = "",
 ):
     """Run the stand-in as a process."""
-    process = TargetProcess(service, target_id, address, port, slots, work_ms, node_url)
+    log = ExecutionLog(log_path, target_id)
+    process = TargetProcess(
+        service, target_id, address, port, slots, work_ms, node_url, log
+    )
     asyncio.run(_run(process))
 
 
