Hold, enforce and spread versions apart, and never go back after a restart

Change: a node serves only when it enforces the head that it read itself after its start, or all versions up to it were refused. A version that any incarnation applied was accepted before that read, so this never goes back; while the table is down a restarted node does not serve. A bad version is held for the chain of deltas, but not enforced, and reported with its reason. Control bytes are counted by direction and kind.

Ruled out: serving after hearing from peers while the table is down: the only holder of a version may be the node that died, so no set of volatile peers proves that there was none.

--- a/packages/node/src/gentianlink/node/mesh/link.py
+++ b/packages/node/src/gentianlink/node/mesh/link.py
@@ -17,6 +17,8 @@
     def __init__(self, peer_id):
         self.peer_id = peer_id
         self.version = 0
+        self.offered_version = 0
+        self.count_sent = None
         self.heard_ms = 0.0
         self._frames = asyncio.Queue(MAX_QUEUED_FRAMES)
         self._is_closed = False
@@ -38,6 +40,9 @@
             self._frames.put_nowait(frame)
         except asyncio.QueueFull:
             self.close()
+            return
+        if self.count_sent is not None:
+            self.count_sent(frame)
 
     def close(self):
         """Give up the link; frames that still wait are dropped."""
--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -1,9 +1,11 @@
 """The links of a node, and to which part each frame goes."""
 
 from gentianlink.core.errors import CatalogueError, CodecError
+from gentianlink.core.settings import MeshSettings
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2
+from gentianlink.node.mesh.control_bytes import ControlBytes
 from gentianlink.node.mesh.convert import decode_node, encode_node
 from gentianlink.node.mesh.record_exchange import RecordExchange
 from gentianlink.node.mesh.version_exchange import VersionExchange
@@ -20,16 +22,20 @@
         Catalogue version in force.
     membership : Membership
         Nodes and targets.
+    settings : MeshSettings, optional
+        How versions spread.
     """
 
-    def __init__(self, applied, membership):
-        self._versions = VersionExchange(applied)
+    def __init__(self, applied, membership, settings=None):
+        self._versions = VersionExchange(applied, settings or MeshSettings())
+        self._control_bytes = ControlBytes()
         self._records = RecordExchange(membership)
         self._links = {}
         self._handlers = {
             "have": self._handle_have,
             "fetch": self._handle_fetch,
-            "content": self._versions.handle_content,
+            "content": self._handle_content,
+            "busy": self._handle_busy,
             "records": self._records.handle_records,
             "heartbeat": self._handle_heartbeat,
         }
@@ -39,11 +45,23 @@
         """Links by name of the neighbour."""
         return self._links
 
+    @property
+    def control_bytes(self):
+        """Bytes of frames by direction and kind."""
+        return self._control_bytes.totals
+
+    @property
+    def latest_version(self):
+        """Latest version that a neighbour holds, 0 without neighbours."""
+        return max((link.version for link in self._links.values()), default=0)
+
     def make_hello(self):
         """Return the first frame of a stream."""
         node = encode_node(self._records.own_record)
         hello = mesh_pb2.Hello(node=node, version=self._versions.version)
-        return mesh_pb2.Frame(hello=hello)
+        frame = mesh_pb2.Frame(hello=hello)
+        self._control_bytes.count_sent(frame)
+        return frame
 
     async def run_link(self, hello_frame, frames, link):
         """Handle the frames of one stream until it ends.
@@ -58,12 +76,15 @@
             Sending side of the stream.
         """
         record = decode_node(hello_frame.hello.node)
+        self._control_bytes.count_received(hello_frame)
+        link.count_sent = self._control_bytes.count_sent
         link.peer_id = record.node_id
         link.version = hello_frame.hello.version
         self._links[link.peer_id] = link
         _LOG.info("link opened", peer=link.peer_id)
         self._records.open_link(record, link)
         self._versions.open_link(link)
+        self.ask_for_version()
         try:
             async for frame in frames:
                 self._handle(frame, link)
@@ -75,6 +96,7 @@
 
     def _handle(self, frame, link):
         link.heard_ms = get_monotonic_ms()
+        self._control_bytes.count_received(frame)
         kind = frame.WhichOneof("body")
         handler = self._handlers.get(kind)
         if handler is None:
@@ -86,15 +108,28 @@
             _LOG.warning("frame refused", peer=link.peer_id, kind=kind, why=str(error))
 
     def _handle_have(self, have, link):
-        self._versions.handle_have(have.version, link)
+        links = list(self._links.values())
+        self._versions.handle_have(have.version, link, links, get_monotonic_ms())
 
     def _handle_fetch(self, fetch, link):
-        self._versions.handle_fetch(fetch.version, link)
+        self._versions.handle_fetch(fetch.version, link, get_monotonic_ms())
+
+    def _handle_content(self, content, link):
+        links = list(self._links.values())
+        self._versions.handle_content(content, link, links, get_monotonic_ms())
+
+    def _handle_busy(self, busy, link):
+        links = list(self._links.values())
+        self._versions.handle_busy(busy, link, links, get_monotonic_ms())
 
     def _handle_heartbeat(self, heartbeat, link):
-        self._versions.handle_have(heartbeat.version, link)
+        self._handle_have(heartbeat, link)
         self._records.handle_digest(heartbeat.records_digest, link)
 
+    def ask_for_version(self):
+        """Ask for a later version if a neighbour holds one."""
+        self._versions.ask(list(self._links.values()), get_monotonic_ms())
+
     def spread_version(self):
         """Send the version in force to the neighbours that lack it."""
         self._versions.spread(list(self._links.values()))
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -18,6 +18,13 @@
             "gentianlink_platform_requests", "Requests to the platform by kind."
         )
 
+        self._control_bytes = Gauge(
+            "gentianlink_control_bytes", "Bytes of frames between nodes."
+        )
+        self._refused = Gauge(
+            "gentianlink_refused_versions", "Catalogue versions refused."
+        )
+
     def update(self, status):
         """Take over the numbers of a status.
 
@@ -33,3 +40,7 @@
             self._calls.set({"outcome": outcome}, count)
         self._platform.set({"kind": "read"}, status.platform_reads)
         self._platform.set({"kind": "write"}, status.platform_writes)
+        self._refused.set({}, len(status.refused))
+        for name, count in status.control_bytes.items():
+            direction, _, kind = name.partition(" ")
+            self._control_bytes.set({"direction": direction, "kind": kind}, count)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -34,6 +34,7 @@
 _LOG = get_logger("node")
 
 EXPIRE_PERIOD_S = 0.2
+FETCH_CHECK_S = 0.1
 JOIN_SCAN_ROWS = 64
 
 
@@ -55,11 +56,18 @@
         self._platform_table = TableClient.from_settings(settings.platform)
         objects = ObjectClient.from_settings(settings.platform)
         store = CatalogueStore(self._platform_table, objects)
-        self._applied = AppliedCatalogue(self._on_applied)
+        self._applied = AppliedCatalogue(self._on_applied, self._on_held)
         self._membership = Membership(own_record, self._on_records)
-        self._mesh = Mesh(self._applied, self._membership)
+        self._mesh = Mesh(self._applied, self._membership, settings.mesh)
         self._topology = Topology(self._mesh, self._membership, settings.mesh)
-        self._reader = HeadReader(store, self._applied, self._membership, settings.mesh)
+        self._reader = HeadReader(
+            store,
+            self._applied,
+            self._membership,
+            settings.mesh,
+            lambda: self._mesh.latest_version,
+            lambda: bool(self._mesh.links),
+        )
         self._local_targets = LocalTargets(
             self._membership, settings.calls.target_lease_ms
         )
@@ -91,7 +99,7 @@
 
     def is_ready(self):
         """Return whether this node may serve calls."""
-        return self._reader.has_read and not self._is_stopping
+        return self._applied.is_current and not self._is_stopping
 
     def get_status(self):
         """Return what this node says of itself."""
@@ -103,6 +111,9 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            latest_version=self._applied.latest.version,
+            refused=self._applied.refused,
+            control_bytes=self._mesh.control_bytes,
             links=tuple(sorted(self._mesh.links)),
             nodes=len(self._membership.get_live_nodes()),
             endpoints={
@@ -123,9 +134,11 @@
 
     def _on_applied(self):
         self._rebuild_table()
-        self._mesh.spread_version()
         _LOG.info("version in force", version=self._applied.version)
 
+    def _on_held(self):
+        self._mesh.spread_version()
+
     def _on_records(self, nodes, targets, source):
         self._rebuild_table()
         self._mesh.spread_records(nodes, targets, source)
@@ -153,6 +166,7 @@
             self._reader.run(),
             self._run_topology(),
             self._run_heartbeats(),
+            self._run_version_fetch(),
             self._run_expiry(),
             self._publish_own_row(),
         ):
@@ -195,6 +209,11 @@
             self._mesh.send_heartbeats()
             await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
 
+    async def _run_version_fetch(self):
+        while True:
+            self._mesh.ask_for_version()
+            await asyncio.sleep(FETCH_CHECK_S)
+
     async def _run_expiry(self):
         while True:
             self._local_targets.expire(get_monotonic_ms())
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -21,6 +21,12 @@
         Digest of that version.
     applied_ms : dict of int to int
         When versions came into force, in milliseconds since the epoch.
+    latest_version : int
+        Latest catalogue version held, in force or refused.
+    refused : dict of int to str
+        Reasons for which versions were refused.
+    control_bytes : dict of str to int
+        Bytes of frames between nodes by direction and kind.
     links : tuple of str
         Neighbours.
     nodes : int
@@ -43,6 +49,9 @@
     version: int
     digest: str
     applied_ms: dict[int, int]
+    latest_version: int
+    refused: dict[int, str]
+    control_bytes: dict[str, int]
     links: tuple[str, ...]
     nodes: int
     endpoints: dict[str, int]
--- a/packages/platform/src/gentianlink/platform/catalogue_store.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_store.py
@@ -91,14 +91,36 @@
         """
         if head.version == 0:
             return Catalogue()
+        return decode(await self.read_snapshot(head), Catalogue)
+
+    async def read_snapshot(self, head):
+        """Return the encoded catalogue of a head.
+
+        Parameters
+        ----------
+        head : Head
+            Version and digest.
+
+        Returns
+        -------
+        bytes
+            Content whose digest was checked; it may still not decode.
+
+        Raises
+        ------
+        DigestMismatch
+            If the object is not what the head names.
+        PlatformError
+            If no answer came.
+        """
         name = get_snapshot_name(head.version, head.digest)
         try:
             data = await self._objects.get(name)
         except ObjectNotFound:
-            return await self._rebuild_catalogue(head)
+            return encode(await self._rebuild_catalogue(head))
         if hashlib.sha256(data).hexdigest() != head.digest:
             raise DigestMismatch(name)
-        return decode(data, Catalogue)
+        return data
 
     async def _rebuild_catalogue(self, head):
         """Return a catalogue whose snapshot is missing, from the version before."""
--- a/packages/platform/src/gentianlink/platform/test_catalogue_store.py
+++ b/packages/platform/src/gentianlink/platform/test_catalogue_store.py
@@ -88,6 +88,7 @@
         assert plan.calls == TRANSACT
         assert platform.check_consistent() == ["first", "second"]
 
+    @pytest.mark.proves("in-force", "objects-down", "accept")
     @pytest.mark.parametrize("call", [FIND, READ_OLD, PUT_SNAPSHOT, PUT_DELTA])
     @pytest.mark.parametrize("fault", FakeFault)
     def test_failure_before_the_transaction(self, platform, call, fault):
@@ -103,11 +104,13 @@
         assert caught.value.change_id == "second"
         assert platform.check_consistent() == ["first"]
 
+    @pytest.mark.proves("in-force", "table-down", "accept")
     def test_refused_transaction(self, platform):
         with pytest.raises(ChangeNotAccepted):
             platform.accept(SECOND, "second", {TRANSACT: FakeFault.REFUSED})
         assert platform.check_consistent() == ["first"]
 
+    @pytest.mark.proves("in-force", "answer-lost", "accept")
     @pytest.mark.parametrize("fault", LOST)
     def test_lost_transaction_is_resolved(self, platform, fault):
         change, plan = platform.accept(SECOND, "second", {TRANSACT: fault})
@@ -145,6 +148,8 @@
         plan.land_delayed()
         assert platform.check_consistent() == ["first", "second"]
 
+    @pytest.mark.proves("never-back", "answer-lost", "accept")
+    @pytest.mark.proves("never-back", "reordered", "accept")
     def test_delayed_transaction_after_another_change(self, platform):
         faults = {call: FakeFault.REFUSED for call in range(READ_BACK, 20)}
         faults[TRANSACT] = FakeFault.DELAYED
@@ -179,6 +184,8 @@
         assert run(repeat.accept(SECOND, base, again, 2000)).when_ms == 1000
         assert platform.check_consistent() == ["first", "second"]
 
+    @pytest.mark.proves("in-force", "race", "accept")
+    @pytest.mark.proves("never-back", "race", "accept")
     def test_two_operators_at_once(self, platform):
         base = platform.read_base()
         platform.accept(SECOND, "second", base=base)
@@ -207,6 +214,7 @@
             platform.accept(SECOND, "first")
         assert caught.value.change.version == 1
 
+    @pytest.mark.proves("in-force", "objects-down", "store")
     def test_missing_snapshot_is_rebuilt(self, platform):
         platform.accept(SECOND, "second")
         head, _ = platform.read_base()
