--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A long run of both deployments under load, faults and changes, with all checks."""
