Move claims into a package of their own behind one call

Cause: claim, execution and record were three calls spread over the dispatcher, and a caller that closed its connection cancelled an execution in the middle. Change: the dispatcher hands the exchange to AtMostOnce.execute; the deadline is checked after the connection is open, just before the call is sent; an at-most-once call runs to its end when the caller goes away, and keeps its slot until then.

--- a/packages/node/src/gentianlink/node/proxy/claim_store.py
+++ b/packages/node/src/gentianlink/node/claims/claim_store.py
@@ -12,7 +12,7 @@
 )
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
-from gentianlink.node.proxy.claim import Claim
+from gentianlink.node.claims.claim import Claim
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform.row import Row
 
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -9,6 +9,7 @@
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
+from gentianlink.node.claims.at_most_once import AtMostOnce
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
@@ -18,7 +19,6 @@
 from gentianlink.node.mesh.topology import Topology
 from gentianlink.node.metrics import NodeMetrics
 from gentianlink.node.node_status import NodeStatus
-from gentianlink.node.proxy.claim_store import ClaimStore
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.node.proxy.dispatcher import Dispatcher
 from gentianlink.node.proxy.load_view import LoadView
@@ -64,8 +64,8 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        claims = ClaimStore(self._platform_table, own_record)
-        dispatcher = Dispatcher(self._local_targets, self._pool, claims)
+        self._claims = AtMostOnce(self._platform_table, own_record)
+        dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
         router = Router(own_record, dispatcher, self._pool, LoadView())
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
         self._metrics = NodeMetrics()
@@ -168,6 +168,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
         self._topology.close()
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -1,6 +1,7 @@
 """Execute a call on a local target, behind its gate."""
 
 import asyncio
+import functools
 
 from tornado.httputil import HTTPHeaders
 
@@ -28,8 +29,8 @@
         Targets beside this node.
     pool : ConnectionPool
         Connections to them.
-    claims : ClaimStore
-        Claims of idempotency keys.
+    claims : AtMostOnce
+        Executes the work of an idempotency key at most once.
     """
 
     def __init__(self, local_targets, pool, claims):
@@ -67,6 +68,12 @@
         refusal = await target.gate.enter(entry.limits.queue, remaining_ms)
         if refusal is not None:
             return refusal
+        work = self._run_in_slot(call, entry, target, writer, version)
+        if entry.work_class is WorkClass.AT_MOST_ONCE:
+            return await self._claims.run_to_end(work)
+        return await work
+
+    async def _run_in_slot(self, call, entry, target, writer, version):
         started_ms = get_monotonic_ms()
         try:
             return await self._run(call, entry, target, writer, version)
@@ -74,28 +81,25 @@
             target.gate.leave(get_monotonic_ms() - started_ms)
 
     async def _run(self, call, entry, target, writer, version):
-        claim = None
         if entry.work_class is WorkClass.AT_MOST_ONCE:
-            claim, refusal = await self._claims.claim(entry, call)
-            if refusal is not None:
-                return refusal
-        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
-        if remaining_ms <= 0:
-            return Refusal(Reason.DEADLINE_PASSED)
+            relay = self._claims.make_relay(writer, version)
+            run = functools.partial(self._exchange, call, target, relay)
+            return await self._claims.execute(call, entry, relay, run)
         relay = AnswerRelay(writer, version)
-        refusal = await self._exchange(call, target, relay, remaining_ms)
-        if refusal is not None:
-            return refusal
-        if claim is not None:
-            await self._claims.record_done(claim, relay.status, b"")
-        await relay.end()
-        return None
+        refusal = await self._exchange(call, target, relay)
+        if refusal is None:
+            await relay.end()
+        return refusal
 
-    async def _exchange(self, call, target, relay, remaining_ms):
+    async def _exchange(self, call, target, relay):
         try:
             stream = await self._pool.acquire(target.address, target.port)
         except TargetUnreachable:
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
+        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
+        if remaining_ms <= 0:
+            self._pool.release(target.address, target.port, stream)
+            return Refusal(Reason.DEADLINE_PASSED)
         headers = make_target_headers(call, remaining_ms)
         try:
             reusable = await run_exchange(stream, call, headers, relay, remaining_ms)
