Acknowledge versions to a collector in each data centre

Cause: nothing knew whether every live node enforces a version, nor who is behind.

Change: each node reports the version in force and the refused ones to the first live node of its data centre by rendezvous rank, after a version with a jitter that grows with the data centre, and every 30 s; a silent collector is passed over for 5 s. GET /v1/convergence asks the collectors of all data centres at once; whatever is not acknowledged by the present incarnation counts as behind. Metrics give the time from acceptance to the node and to the last node of the data centre. Control and platform bytes are counted at the boundary and shown in the status.

Ruled out: collectors that exchange summaries all the time: 18 messages for each collector and change at 19 data centres, while an answer is needed only by someone who asks; and reports along the overlay, which send each report several times.

--- a/packages/node/src/gentianlink/node/admin.py
+++ b/packages/node/src/gentianlink/node/admin.py
@@ -12,10 +12,12 @@
 from gentianlink.core.errors import CodecError
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.ops.convergence import format_convergence
 
 STATUS_BAD_REQUEST = 400
 STATUS_UNAVAILABLE = 503
 MAX_BODY_BYTES = 64 * 1024
+MAX_VERSION = 2**63 - 1
 
 
 class _Handler(RequestHandler):
@@ -78,6 +80,20 @@
         self.write_json(cattrs.unstructure(self._node.get_status()))
 
 
+class ConvergenceHandler(_Handler):
+    """Says how far a version is in force."""
+
+    async def get(self):
+        """Answer with the state of the version asked for, else of the own one."""
+        text = self.get_query_argument("version", str(self._node.applied.version))
+        if not text.isascii() or not text.isdecimal() or int(text) > MAX_VERSION:
+            self.set_status(STATUS_BAD_REQUEST)
+            self.write_json({"error": "version is not a whole number"})
+            return
+        state = await self._node.compute_convergence(int(text))
+        self.write_json(format_convergence(state))
+
+
 class MetricsHandler(_Handler):
     """Serves metrics in the format of Prometheus."""
 
@@ -114,6 +130,7 @@
             ("/v1/targets", TargetsHandler, arguments),
             ("/v1/targets/([^/]+)", TargetHandler, arguments),
             ("/v1/status", StatusHandler, arguments),
+            ("/v1/convergence", ConvergenceHandler, arguments),
             ("/readyz", ReadyHandler, arguments),
             ("/healthz", HealthHandler, arguments),
             ("/metrics", MetricsHandler, arguments),
--- a/packages/node/src/gentianlink/node/mesh/control_bytes.py
+++ b/packages/node/src/gentianlink/node/mesh/control_bytes.py
@@ -1,4 +1,4 @@
-"""Bytes of the frames between nodes, by kind and direction."""
+"""Bytes of the messages between nodes, by kind and direction."""
 
 import collections
 
@@ -7,7 +7,7 @@
 
 
 class ControlBytes:
-    """Serialized sizes of frames, summed up."""
+    """Serialized sizes of messages, summed up."""
 
     def __init__(self):
         self._bytes = collections.Counter()
@@ -17,10 +17,26 @@
         """Bytes by ``direction kind``."""
         return dict(self._bytes)
 
-    def count_sent(self, frame):
-        """Count a frame that is sent."""
-        self._bytes[f"{SENT} {frame.WhichOneof('body')}"] += frame.ByteSize()
-
-    def count_received(self, frame):
-        """Count a frame that came in."""
-        self._bytes[f"{RECEIVED} {frame.WhichOneof('body')}"] += frame.ByteSize()
+    def count_sent(self, kind, message):
+        """Count a message that is sent.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the message.
+        message : protobuf message
+            The message.
+        """
+        self._bytes[f"{SENT} {kind}"] += message.ByteSize()
+
+    def count_received(self, kind, message):
+        """Count a message that came in.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the message.
+        message : protobuf message
+            The message.
+        """
+        self._bytes[f"{RECEIVED} {kind}"] += message.ByteSize()
--- /dev/null
+++ b/packages/node/src/gentianlink/node/mesh/convergence_service.py
@@ -0,0 +1,229 @@
+"""Acknowledge versions: report to the collector, and ask all collectors."""
+
+import asyncio
+import random
+
+import grpc
+
+from gentianlink.core.convergence import DataCentreConvergence
+from gentianlink.core.node_report import NodeReport
+from gentianlink.node.clock import get_now_ms
+from gentianlink.node.log import get_logger
+from gentianlink.node.mesh import mesh_pb2
+from gentianlink.node.mesh.channels import Channels
+from gentianlink.ops.convergence import compute_convergence, get_collectors
+
+_LOG = get_logger("ack")
+
+CALL_TIMEOUT_S = 0.5
+SPREAD_MS_PER_NODE = 1
+SPREAD_MAX_MS = 500
+CHECK_S = 0.25
+REPEAT_MS = 30_000
+BACKOFF_FIRST_MS = 50
+BACKOFF_MAX_MS = 2000
+AVOID_MS = 5000
+MAX_ASKED = 2
+
+
+class ConvergenceService:
+    """Reports of this node, and questions about all nodes.
+
+    Parameters
+    ----------
+    membership : Membership
+        Nodes among which collectors are ranked.
+    applied : AppliedCatalogue
+        Versions in force and refused.
+    collector : ReportCollector
+        Reports that this node collects.
+    control_bytes : ControlBytes
+        Counts of bytes between nodes.
+    rng : random.Random, optional
+        Source of randomness.
+    """
+
+    def __init__(self, membership, applied, collector, control_bytes, rng=random):
+        self._membership = membership
+        self._applied = applied
+        self._collector = collector
+        self._control_bytes = control_bytes
+        self._rng = rng
+        self._channels = Channels()
+        self._reported = None
+        self._reported_ms = 0
+        self._failures = 0
+        self._avoided_ms = {}
+        self._changed = asyncio.Event()
+
+    def notify(self):
+        """Take in that the version in force or the refused ones changed."""
+        self._changed.set()
+
+    async def run(self):
+        """Report again and again until cancelled."""
+        while True:
+            if self._is_due(get_now_ms()):
+                self._changed.clear()
+                await self._report(get_now_ms())
+            if self._failures:
+                await asyncio.sleep(self._compute_backoff_ms() / 1000)
+                continue
+            try:
+                await asyncio.wait_for(self._changed.wait(), CHECK_S)
+                await asyncio.sleep(self._compute_spread_ms() / 1000)
+            except TimeoutError:
+                continue
+
+    def _make_report(self):
+        own = self._membership.own_record
+        return NodeReport(
+            own.node_id, own.incarnation, self._applied.version, self._applied.refused
+        )
+
+    def _get_collectors(self, data_centre):
+        return get_collectors(self._membership.get_live_nodes(), data_centre)
+
+    def _find_collector(self, now_ms):
+        own = self._membership.own_record
+        collectors = self._get_collectors(own.data_centre)
+        for collector in collectors:
+            if self._avoided_ms.get(collector.node_id, 0) <= now_ms:
+                return collector
+        return collectors[0]
+
+    def _get_mark(self, collector, report):
+        return collector.node_id, collector.incarnation, report
+
+    def _is_due(self, now_ms):
+        mark = self._get_mark(self._find_collector(now_ms), self._make_report())
+        return mark != self._reported or now_ms - self._reported_ms >= REPEAT_MS
+
+    async def _report(self, now_ms):
+        collector = self._find_collector(now_ms)
+        report = self._make_report()
+        if collector.node_id == self._membership.own_record.node_id:
+            self._collector.take(report, now_ms)
+        elif not await self._send(collector, report):
+            self._failures += 1
+            self._avoided_ms[collector.node_id] = now_ms + AVOID_MS
+            return
+        self._failures = 0
+        self._reported = self._get_mark(collector, report)
+        self._reported_ms = now_ms
+
+    async def _send(self, collector, report):
+        stub = self._channels.get_stub(collector)
+        message = encode_report(report)
+        self._control_bytes.count_sent("report", message)
+        try:
+            await stub.Report(message, timeout=CALL_TIMEOUT_S)
+        except grpc.RpcError as error:
+            _LOG.warning("report lost", peer=collector.node_id, why=str(error.code()))
+            self._channels.drop(collector)
+            return False
+        return True
+
+    def _compute_spread_ms(self):
+        nodes = len(self._membership.get_live_nodes())
+        return self._rng.uniform(0, min(SPREAD_MAX_MS, SPREAD_MS_PER_NODE * nodes))
+
+    def _compute_backoff_ms(self):
+        bound_ms = BACKOFF_FIRST_MS * 2 ** min(self._failures, 16)
+        return self._rng.uniform(0, min(BACKOFF_MAX_MS, bound_ms))
+
+    async def compute(self, version):
+        """Ask the collectors of all data centres how far a version is in force.
+
+        Parameters
+        ----------
+        version : int
+            The version.
+
+        Returns
+        -------
+        Convergence
+            The state; data centres that do not answer count as behind.
+        """
+        nodes = self._membership.get_live_nodes()
+        names = sorted({node.data_centre for node in nodes})
+        answers = await asyncio.gather(*(self._ask(name, version) for name in names))
+        known = {
+            name: answer
+            for name, answer in zip(names, answers, strict=True)
+            if answer is not None
+        }
+        return compute_convergence(version, nodes, known)
+
+    async def _ask(self, data_centre, version):
+        best = None
+        for collector in self._get_collectors(data_centre)[:MAX_ASKED]:
+            answer = await self._ask_collector(collector, version)
+            if answer is None:
+                continue
+            if best is None or answer.in_force > best.in_force:
+                best = answer
+            if best.in_force == best.nodes:
+                break
+        return best
+
+    async def _ask_collector(self, collector, version):
+        if collector.node_id == self._membership.own_record.node_id:
+            return self._collector.compute(version)
+        stub = self._channels.get_stub(collector)
+        request = mesh_pb2.ConvergenceRequest(version=version)
+        try:
+            message = await stub.GetConvergence(request, timeout=CALL_TIMEOUT_S)
+        except grpc.RpcError as error:
+            _LOG.warning(
+                "collector silent", peer=collector.node_id, why=str(error.code())
+            )
+            self._channels.drop(collector)
+            return None
+        self._control_bytes.count_sent("convergence", request)
+        self._control_bytes.count_received("convergence", message)
+        return decode_answer(message)
+
+    def close(self):
+        """Close all connections."""
+        self._channels.close()
+
+
+def encode_report(report):
+    """Return the message for a report."""
+    return mesh_pb2.NodeReport(
+        node_id=report.node_id,
+        incarnation=report.incarnation,
+        version=report.version,
+        refused=report.refused,
+    )
+
+
+def decode_report(message):
+    """Return the report of a message."""
+    return NodeReport(
+        node_id=message.node_id,
+        incarnation=message.incarnation,
+        version=message.version,
+        refused=dict(message.refused),
+    )
+
+
+def encode_answer(state):
+    """Return the message for the state of a data centre."""
+    return mesh_pb2.ConvergenceAnswer(
+        nodes=state.nodes,
+        in_force=state.in_force,
+        behind=state.behind,
+        refused=state.refused,
+    )
+
+
+def decode_answer(message):
+    """Return the state of a data centre of a message."""
+    return DataCentreConvergence(
+        nodes=message.nodes,
+        in_force=message.in_force,
+        behind=tuple(message.behind),
+        refused=dict(message.refused),
+    )
--- a/packages/node/src/gentianlink/node/mesh/link.py
+++ b/packages/node/src/gentianlink/node/mesh/link.py
@@ -42,7 +42,7 @@
             self.close()
             return
         if self.count_sent is not None:
-            self.count_sent(frame)
+            self.count_sent(frame.WhichOneof("body"), frame)
 
     def close(self):
         """Give up the link; frames that still wait are dropped."""
--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -47,8 +47,8 @@
 
     @property
     def control_bytes(self):
-        """Bytes of frames by direction and kind."""
-        return self._control_bytes.totals
+        """Bytes of messages by direction and kind."""
+        return self._control_bytes
 
     @property
     def latest_version(self):
@@ -60,7 +60,7 @@
         node = encode_node(self._records.own_record)
         hello = mesh_pb2.Hello(node=node, version=self._versions.version)
         frame = mesh_pb2.Frame(hello=hello)
-        self._control_bytes.count_sent(frame)
+        self._control_bytes.count_sent("hello", frame)
         return frame
 
     async def run_link(self, hello_frame, frames, link):
@@ -76,7 +76,7 @@
             Sending side of the stream.
         """
         record = decode_node(hello_frame.hello.node)
-        self._control_bytes.count_received(hello_frame)
+        self._control_bytes.count_received("hello", hello_frame)
         link.count_sent = self._control_bytes.count_sent
         link.peer_id = record.node_id
         link.version = hello_frame.hello.version
@@ -96,8 +96,8 @@
 
     def _handle(self, frame, link):
         link.heard_ms = get_monotonic_ms()
-        self._control_bytes.count_received(frame)
         kind = frame.WhichOneof("body")
+        self._control_bytes.count_received(kind, frame)
         handler = self._handlers.get(kind)
         if handler is None:
             _LOG.warning("frame of unknown kind", peer=link.peer_id, kind=kind)
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -4,7 +4,9 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.node.background import start_task
-from gentianlink.node.mesh import mesh_pb2_grpc
+from gentianlink.node.clock import get_now_ms
+from gentianlink.node.mesh import mesh_pb2, mesh_pb2_grpc
+from gentianlink.node.mesh.convergence_service import decode_report, encode_answer
 from gentianlink.node.mesh.link import Link
 
 SHUTDOWN_GRACE_S = 0.2
@@ -17,10 +19,13 @@
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     """
 
-    def __init__(self, mesh):
+    def __init__(self, mesh, collector):
         self._mesh = mesh
+        self._collector = collector
 
     async def Link(self, request_iterator, context):  # noqa: N802
         """Serve one link.
@@ -42,6 +47,31 @@
         finally:
             reader.cancel()
 
+    async def Report(self, request, context):  # noqa: N802
+        """Take in the report of a node of this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.NodeReport
+            The report.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        self._collector.take(decode_report(request), get_now_ms())
+        return mesh_pb2.ReportAnswer()
+
+    async def GetConvergence(self, request, context):  # noqa: N802
+        """Answer how far a version is in force in this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.ConvergenceRequest
+            The version.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        return encode_answer(self._collector.compute(request.version))
+
 
 async def _read_link(mesh, frames, link):
     try:
@@ -51,13 +81,15 @@
         link.close()
 
 
-async def start_mesh_server(mesh, address, port):
-    """Start to accept links.
+async def start_mesh_server(mesh, collector, address, port):
+    """Start to accept links, reports and questions.
 
     Parameters
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     address : str
         IP number to listen on.
     port : int
@@ -69,7 +101,7 @@
         The running server.
     """
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
-    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh), server)
+    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh, collector), server)
     server.add_insecure_port(f"{address}:{port}")
     await server.start()
     return server
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -18,12 +18,19 @@
             "gentianlink_platform_requests", "Requests to the platform by kind."
         )
 
+        self._platform_bytes = Gauge(
+            "gentianlink_platform_bytes", "Bytes exchanged with the platform."
+        )
         self._control_bytes = Gauge(
             "gentianlink_control_bytes", "Bytes of frames between nodes."
         )
         self._refused = Gauge(
             "gentianlink_refused_versions", "Catalogue versions refused."
         )
+        self._convergence = Gauge(
+            "gentianlink_convergence_ms",
+            "Time from acceptance to this node, or to the last of its data centre.",
+        )
 
     def update(self, status):
         """Take over the numbers of a status.
@@ -44,3 +51,9 @@
         for name, count in status.control_bytes.items():
             direction, _, kind = name.partition(" ")
             self._control_bytes.set({"direction": direction, "kind": kind}, count)
+        if status.own_convergence_ms is not None:
+            self._convergence.set({"scope": "node"}, status.own_convergence_ms)
+        if status.data_centre_convergence_ms is not None:
+            labels = {"scope": "data_centre"}
+            self._convergence.set(labels, status.data_centre_convergence_ms)
+        self._platform_bytes.set({}, status.platform_bytes)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -14,6 +14,7 @@
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
+from gentianlink.node.mesh.convergence_service import ConvergenceService
 from gentianlink.node.mesh.mesh import Mesh
 from gentianlink.node.mesh.server import start_mesh_server
 from gentianlink.node.mesh.topology import Topology
@@ -25,6 +26,7 @@
 from gentianlink.node.proxy.local_targets import LocalTargets
 from gentianlink.node.proxy.router import Router
 from gentianlink.node.proxy.server import CallServer
+from gentianlink.node.report_collector import ReportCollector
 from gentianlink.ops.build_table import build_table
 from gentianlink.platform.catalogue_store import CatalogueStore
 from gentianlink.platform.names import NODE_PREFIX, get_node_key
@@ -54,12 +56,19 @@
         self._tasks = []
         own_record = make_own_record(settings, get_now_ms())
         self._platform_table = TableClient.from_settings(settings.platform)
-        objects = ObjectClient.from_settings(settings.platform)
-        store = CatalogueStore(self._platform_table, objects)
+        self._platform_objects = ObjectClient.from_settings(settings.platform)
+        store = CatalogueStore(self._platform_table, self._platform_objects)
         self._applied = AppliedCatalogue(self._on_applied, self._on_held)
         self._membership = Membership(own_record, self._on_records)
         self._mesh = Mesh(self._applied, self._membership, settings.mesh)
         self._topology = Topology(self._mesh, self._membership, settings.mesh)
+        self._collector = ReportCollector(self._membership)
+        self._convergence = ConvergenceService(
+            self._membership,
+            self._applied,
+            self._collector,
+            self._mesh.control_bytes,
+        )
         self._reader = HeadReader(
             store,
             self._applied,
@@ -113,7 +122,10 @@
             applied_ms=self._applied.applied_ms,
             latest_version=self._applied.latest.version,
             refused=self._applied.refused,
-            control_bytes=self._mesh.control_bytes,
+            control_bytes=self._mesh.control_bytes.totals,
+            accepted_ms=self._applied.accepted_ms,
+            complete_version=self._collector.complete_version,
+            complete_ms=self._collector.complete_ms,
             links=tuple(sorted(self._mesh.links)),
             nodes=len(self._membership.get_live_nodes()),
             endpoints={
@@ -124,19 +136,27 @@
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
-            platform_reads=self._platform_table.reads,
+            platform_reads=self._platform_table.reads + self._platform_objects.reads,
             platform_writes=self._platform_table.writes,
+            platform_bytes=self._platform_table.transferred_bytes
+            + self._platform_objects.transferred_bytes,
         )
 
+    async def compute_convergence(self, version):
+        """Return how far a version is in force over all live nodes."""
+        return await self._convergence.compute(version)
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
 
     def _on_applied(self):
         self._rebuild_table()
+        self._convergence.notify()
         _LOG.info("version in force", version=self._applied.version)
 
     def _on_held(self):
+        self._convergence.notify()
         self._mesh.spread_version()
 
     def _on_records(self, nodes, targets, source):
@@ -158,7 +178,7 @@
         """
         listen = self._settings.listen
         mesh_server = await start_mesh_server(
-            self._mesh, listen.address, listen.mesh_port
+            self._mesh, self._collector, listen.address, listen.mesh_port
         )
         start_admin_server(self, listen.address, listen.admin_port)
         self._calls.listen(listen.address, listen.call_port)
@@ -167,6 +187,7 @@
             self._run_topology(),
             self._run_heartbeats(),
             self._run_version_fetch(),
+            self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
         ):
@@ -186,6 +207,7 @@
         for task in self._tasks:
             task.cancel()
         self._topology.close()
+        self._convergence.close()
         self._pool.close()
         await mesh_server.stop(0.1)
         _LOG.info("node stopped")
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -27,6 +27,13 @@
         Reasons for which versions were refused.
     control_bytes : dict of str to int
         Bytes of frames between nodes by direction and kind.
+    accepted_ms : dict of int to int
+        When versions were accepted, in milliseconds since the epoch.
+    complete_version : int
+        Latest version in force on every node of the data centre, as far as this
+        node collected reports.
+    complete_ms : int
+        When that was known, in milliseconds since the epoch.
     links : tuple of str
         Neighbours.
     nodes : int
@@ -41,6 +48,8 @@
         Reads sent to the platform.
     platform_writes : int
         Writes sent to the platform.
+    platform_bytes : int
+        Bytes exchanged with the platform.
     """
 
     node_id: str
@@ -52,6 +61,9 @@
     latest_version: int
     refused: dict[int, str]
     control_bytes: dict[str, int]
+    accepted_ms: dict[int, int]
+    complete_version: int
+    complete_ms: int
     links: tuple[str, ...]
     nodes: int
     endpoints: dict[str, int]
@@ -59,3 +71,20 @@
     outcomes: dict[str, int]
     platform_reads: int
     platform_writes: int
+    platform_bytes: int
+
+    @property
+    def own_convergence_ms(self):
+        """Time from acceptance to this node for the version in force, or None."""
+        return self._compute_convergence(self.version, self.applied_ms)
+
+    @property
+    def data_centre_convergence_ms(self):
+        """Time from acceptance to the last node of the data centre, or None."""
+        times = {self.complete_version: self.complete_ms}
+        return self._compute_convergence(self.complete_version, times)
+
+    def _compute_convergence(self, version, times):
+        if version not in self.accepted_ms or version not in times:
+            return None
+        return times[version] - self.accepted_ms[version]
--- /dev/null
+++ b/packages/node/src/gentianlink/node/test_report_collector.py
@@ -0,0 +1,67 @@
+import pytest
+
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.node_report import NodeReport
+from gentianlink.node.report_collector import ReportCollector
+
+
+class FakeMembership:
+    """Nodes that a test sets."""
+
+    def __init__(self, *nodes):
+        self.own_record = nodes[0]
+        self.live = list(nodes)
+
+    @property
+    def nodes(self):
+        return {node.node_id: node for node in self.live}
+
+    def get_live_nodes(self):
+        return self.live
+
+
+def make_node(node_id, data_centre="north", incarnation=1):
+    return NodeRecord(node_id, incarnation, 1, "r", data_centre, "127.0.0.1", 1, 2, 3)
+
+
+@pytest.fixture
+def membership():
+    return FakeMembership(make_node("a"), make_node("b"), make_node("c", "south"))
+
+
+@pytest.fixture
+def collector(membership):
+    return ReportCollector(membership)
+
+
+class TestReportCollector:
+    def test_other_data_centres_do_not_count(self, collector):
+        collector.take(NodeReport("a", 1, 3), 0)
+        state = collector.compute(3)
+        assert (state.nodes, state.in_force, state.behind) == (2, 1, ("b",))
+
+    @pytest.mark.proves("in-force", "reordered", "apply")
+    def test_late_report_changes_nothing(self, collector):
+        collector.take(NodeReport("b", 1, 3), 0)
+        collector.take(NodeReport("b", 1, 2), 0)
+        assert collector.compute(3).behind == ("a",)
+
+    def test_restarted_node_is_behind_until_it_reports(self, collector, membership):
+        collector.take(NodeReport("a", 1, 3), 0)
+        collector.take(NodeReport("b", 1, 3), 0)
+        membership.live[1] = make_node("b", incarnation=2)
+        assert collector.compute(3).behind == ("b",)
+        collector.take(NodeReport("b", 2, 3), 0)
+        assert collector.compute(3).behind == ()
+
+    def test_report_of_an_unknown_node_is_dropped(self, collector):
+        collector.take(NodeReport("z", 1, 9), 0)
+        assert collector.compute(1).in_force == 0
+
+    def test_time_of_the_last_node(self, collector):
+        collector.take(NodeReport("a", 1, 3), 100)
+        assert collector.complete_version == 0
+        collector.take(NodeReport("b", 1, 3), 250)
+        assert (collector.complete_version, collector.complete_ms) == (3, 250)
+        collector.take(NodeReport("b", 1, 3), 900)
+        assert collector.complete_ms == 250
--- /dev/null
+++ b/packages/ops/src/gentianlink/ops/test_convergence.py
@@ -0,0 +1,95 @@
+import pytest
+
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.node_report import NodeReport
+from gentianlink.ops.convergence import (
+    MAX_NAMES,
+    compute_convergence,
+    compute_data_centre,
+    format_convergence,
+    get_collectors,
+)
+
+
+def make_node(node_id, data_centre="north", incarnation=1):
+    return NodeRecord(node_id, incarnation, 1, "r", data_centre, "127.0.0.1", 1, 2, 3)
+
+
+NORTH = [make_node("a"), make_node("b"), make_node("c")]
+SOUTH = [make_node("d", "south")]
+
+
+def make_reports(**versions):
+    return {name: NodeReport(name, 1, version) for name, version in versions.items()}
+
+
+class TestConvergence:
+    def test_nodes_at_or_after_the_version_count(self):
+        part = compute_data_centre(5, NORTH, make_reports(a=5, b=6, c=4))
+        assert (part.nodes, part.in_force, part.behind) == (3, 2, ("c",))
+
+    def test_node_without_a_report_is_behind(self):
+        part = compute_data_centre(5, NORTH, make_reports(a=5))
+        assert part.behind == ("b", "c")
+
+    @pytest.mark.proves("in-force", "kill", "restart")
+    def test_report_of_an_earlier_incarnation_does_not_count(self):
+        restarted = [make_node("a", incarnation=2)]
+        assert compute_data_centre(5, restarted, make_reports(a=5)).behind == ("a",)
+
+    def test_node_that_is_no_longer_live_does_not_count(self):
+        part = compute_data_centre(5, NORTH[:1], make_reports(a=5, b=1))
+        assert (part.nodes, part.in_force, part.behind) == (1, 1, ())
+
+    def test_reasons_of_nodes_that_refused(self):
+        reports = {"a": NodeReport("a", 1, 4, {5: "no service"})}
+        assert compute_data_centre(5, NORTH, reports).refused == {"a": "no service"}
+
+    def test_names_are_bounded(self):
+        nodes = [make_node(f"n{number:04}") for number in range(500)]
+        part = compute_data_centre(5, nodes, {})
+        assert (part.nodes, len(part.behind)) == (500, MAX_NAMES)
+
+    def test_format(self):
+        answers = {
+            "north": compute_data_centre(5, NORTH, make_reports(a=5, b=5, c=4)),
+            "south": compute_data_centre(5, SOUTH, make_reports(d=5)),
+        }
+        state = compute_convergence(5, NORTH + SOUTH, answers)
+        assert format_convergence(state) == {
+            "version": 5,
+            "nodes": 4,
+            "in_force": 3,
+            "behind": ["c"],
+            "complete": False,
+            "data_centres": {
+                "north": {"nodes": 3, "in_force": 2},
+                "south": {"nodes": 1, "in_force": 1},
+            },
+        }
+
+    def test_complete(self):
+        reports = make_reports(a=5, b=5, c=5)
+        answers = {"north": compute_data_centre(5, NORTH, reports)}
+        assert compute_convergence(5, NORTH, answers).is_complete
+        assert not compute_convergence(5, [], {}).is_complete
+
+    @pytest.mark.proves("in-force", "partition", "apply")
+    def test_data_centre_that_does_not_answer_is_behind(self):
+        reports = make_reports(a=5, b=5, c=5)
+        answers = {"north": compute_data_centre(5, NORTH, reports)}
+        state = compute_convergence(5, NORTH + SOUTH, answers)
+        assert (state.in_force, state.behind) == (3, ("d",))
+        assert not state.is_complete
+
+    def test_node_that_the_collector_does_not_know_is_behind(self):
+        answers = {"north": compute_data_centre(5, NORTH[:2], make_reports(a=5, b=5))}
+        state = compute_convergence(5, NORTH, answers)
+        assert (state.nodes, state.in_force, state.is_complete) == (3, 2, False)
+
+    def test_collectors_take_over_in_order(self):
+        nodes = NORTH + SOUTH
+        order = [node.node_id for node in get_collectors(nodes, "north")]
+        assert sorted(order) == ["a", "b", "c"]
+        left = [node for node in nodes if node.node_id != order[0]]
+        assert [node.node_id for node in get_collectors(left, "north")] == order[1:]
--- a/packages/platform/src/gentianlink/platform/http.py
+++ b/packages/platform/src/gentianlink/platform/http.py
@@ -64,6 +64,25 @@
     return response
 
 
+def compute_bytes(response):
+    """Return the size of a request and its answer.
+
+    Parameters
+    ----------
+    response : tornado.httpclient.HTTPResponse
+        The answer.
+
+    Returns
+    -------
+    int
+        Bytes of the address, the bodies and the headers.
+    """
+    parts = [response.request.url, response.request.body or b"", response.body]
+    for headers in (response.request.headers, response.headers):
+        parts.extend(f"{name}: {value}\r\n" for name, value in headers.get_all())
+    return sum(len(part) for part in parts)
+
+
 def decode_json(response):
     """Decode the JSON body of an answer.
 
--- a/packages/platform/src/gentianlink/platform/object_client.py
+++ b/packages/platform/src/gentianlink/platform/object_client.py
@@ -3,7 +3,7 @@
 import urllib.parse
 
 from gentianlink.core.errors import ObjectNotFound, PlatformAnswerInvalid
-from gentianlink.platform.http import decode_json, send
+from gentianlink.platform.http import compute_bytes, decode_json, send
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -24,12 +24,18 @@
         self._url = url
         self._timeout_ms = timeout_ms
         self._reads = 0
+        self._bytes = 0
 
     @classmethod
     def from_settings(cls, settings):
         """Return a client for the ``platform`` section of the settings."""
         return cls(settings.object_url, settings.timeout_ms)
 
+    @property
+    def transferred_bytes(self):
+        """Bytes of requests and answers, with their headers about."""
+        return self._bytes
+
     @property
     def reads(self):
         """Number of reads sent."""
@@ -56,7 +62,7 @@
             If no answer came.
         """
         self._reads += 1
-        response = await send("GET", self._get_url(name), self._timeout_ms)
+        response = await self._send("GET", self._get_url(name))
         if response.code == STATUS_NOT_FOUND:
             raise ObjectNotFound(name)
         if response.code != STATUS_OK:
@@ -78,7 +84,7 @@
         PlatformError
             If no answer came.
         """
-        response = await send("PUT", self._get_url(name), self._timeout_ms, data)
+        response = await self._send("PUT", self._get_url(name), data)
         if response.code != STATUS_OK:
             raise PlatformAnswerInvalid(f"status {response.code}")
 
@@ -102,7 +108,7 @@
         """
         self._reads += 1
         query = urllib.parse.urlencode({"prefix": prefix})
-        response = await send("GET", f"{self._url}?{query}", self._timeout_ms)
+        response = await self._send("GET", f"{self._url}?{query}")
         names = decode_json(response).get("names")
         if not isinstance(names, list):
             raise PlatformAnswerInvalid("no names")
@@ -110,3 +116,8 @@
 
     def _get_url(self, name):
         return f"{self._url}/{urllib.parse.quote(name, safe='')}"
+
+    async def _send(self, method, url, body=None):
+        response = await send(method, url, self._timeout_ms, body)
+        self._bytes += compute_bytes(response)
+        return response
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -5,7 +5,7 @@
 import orjson
 
 from gentianlink.core.errors import PlatformAnswerInvalid, WriteConflict
-from gentianlink.platform.http import decode_json, send
+from gentianlink.platform.http import compute_bytes, decode_json, send
 from gentianlink.platform.row import Row
 
 STATUS_OK = 200
@@ -27,6 +27,7 @@
         self._url = url
         self._timeout_ms = timeout_ms
         self._reads = 0
+        self._bytes = 0
         self._writes = 0
 
     @classmethod
@@ -34,6 +35,11 @@
         """Return a client for the ``platform`` section of the settings."""
         return cls(settings.table_url, settings.timeout_ms)
 
+    @property
+    def transferred_bytes(self):
+        """Bytes of requests and answers, with their headers about."""
+        return self._bytes
+
     @property
     def reads(self):
         """Number of reads sent."""
@@ -64,7 +70,7 @@
         """
         self._reads += 1
         name = urllib.parse.quote(key, safe="")
-        response = await send("GET", f"{self._url}/rows/{name}", self._timeout_ms)
+        response = await self._send("GET", f"{self._url}/rows/{name}")
         return _decode_row(decode_json(response))
 
     async def scan(self, prefix, after="", limit=1000):
@@ -93,7 +99,7 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": limit}
         )
-        response = await send("GET", f"{self._url}/rows?{query}", self._timeout_ms)
+        response = await self._send("GET", f"{self._url}/rows?{query}")
         rows = decode_json(response).get("rows")
         if not isinstance(rows, list):
             raise PlatformAnswerInvalid("no rows")
@@ -132,7 +138,7 @@
                 "puts": [{"key": key, "value": value} for key, value in puts],
             }
         )
-        response = await send("POST", f"{self._url}/transact", self._timeout_ms, body)
+        response = await self._send("POST", f"{self._url}/transact", body)
         answer = decode_json(response)
         if response.code == STATUS_CONFLICT:
             raise WriteConflict(answer.get("key"), answer.get("revision"))
@@ -141,6 +147,11 @@
             raise PlatformAnswerInvalid(f"status {response.code}")
         return revision
 
+    async def _send(self, method, url, body=None):
+        response = await send(method, url, self._timeout_ms, body)
+        self._bytes += compute_bytes(response)
+        return response
+
 
 def _decode_row(value):
     try:
