--- a/packages/testing/src/gentianlink/testing/checks/call_record.py
+++ b/packages/testing/src/gentianlink/testing/checks/call_record.py
@@ -31,6 +31,8 @@
         Catalogue version that the answer names; 0 if none.
     replayed : bool
         Whether the answer was recorded for an earlier submission.
+    reason : str
+        Reason header; empty if there was none.
     """
 
     request_id: str
@@ -44,3 +46,4 @@
     echo: str
     version: int = 0
     replayed: bool = False
+    reason: str = ""
--- a/packages/testing/src/gentianlink/testing/soak/__main__.py
+++ b/packages/testing/src/gentianlink/testing/soak/__main__.py
@@ -114,7 +114,9 @@
 
 
 def _print_report(deployment, observations, executions, changes, violations):
-    outcomes = collections.Counter(call.outcome for call in observations.calls)
+    outcomes = collections.Counter(
+        f"{call.outcome} {call.reason}".strip() for call in observations.calls
+    )
     faults = collections.Counter(name for _, name, _ in observations.faults)
     print(f"{deployment.region}: {len(observations.calls)} calls {dict(outcomes)}")
     print(f"  {len(executions)} executions, {len(changes)} changes")
--- a/packages/testing/src/gentianlink/testing/soak/load.py
+++ b/packages/testing/src/gentianlink/testing/soak/load.py
@@ -49,12 +49,13 @@
         request_timeout=CALL_TIMEOUT_S,
     )
     sent_ms = get_now_ms()
-    status, outcome, echo, version, replayed = 0, "", "", 0, False
+    status, outcome, reason, echo, version, replayed = 0, "", "", "", 0, False
     try:
         client = AsyncHTTPClient(max_clients=MAX_CLIENTS)
         response = await client.fetch(request, raise_error=False)
         status = response.code
         outcome = response.headers.get(names.OUTCOME, "")
+        reason = response.headers.get(names.REASON, "")
         version = int(response.headers.get(names.VERSION, "0"))
         replayed = REPLAYED in response.headers
         echo = _get_echo(response.body)
@@ -74,6 +75,7 @@
         echo=echo,
         version=version,
         replayed=replayed,
+        reason=reason,
     )
 
 
