Resolve every lost answer of a claim, and replay recorded answers

Cause: a claim whose answer was lost, or that was followed by a refusal, left its key stuck; a repeat never got the recorded answer; an answer with status 500, 502 or 504 of the platform was taken for a proof that nothing was written. Change: a claim row is claimed, released, done or unknown; every transition is conditional on the revision that was read; a lost claim is read back by its token and fenced before not-run is told; results are written in the background within bounds; rows of several calls share a transaction; a released key can be claimed again.

--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -56,6 +56,16 @@
     target_lease_ms: int = integer(100, 600_000, default=3000)
 
 
+@attrs.frozen
+class ClaimSettings:
+    """Section ``claims``: at-most-once execution."""
+
+    batch_rows: int = integer(1, 1000, default=64)
+    batch_wait_ms: int = integer(0, 1000, default=2)
+    max_pending: int = integer(1, 1_000_000, default=2000)
+    answer_max_bytes: int = integer(0, 1 << 20, default=16 * 1024)
+
+
 @attrs.frozen
 class LogSettings:
     """Section ``log``: structured logs on standard error."""
@@ -72,4 +82,5 @@
     platform: PlatformSettings
     mesh: MeshSettings
     calls: CallSettings
+    claims: ClaimSettings
     log: LogSettings
--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -1,29 +1,82 @@
 """Execute the work of an idempotency key at most once."""
 
 import asyncio
+import functools
+import uuid
 
+import attrs
+
+from gentianlink.core.errors import PlatformError
+from gentianlink.core.outcome import Outcome
+from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
-from gentianlink.node.claims.claim_store import ClaimStore
+from gentianlink.node.claims.claim import Claim, compute_call_digest
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.claim_state import ClaimState
+from gentianlink.node.claims.claim_table import ClaimTable
+from gentianlink.node.claims.errors import ClaimNotMade, ClaimUnresolved
+from gentianlink.node.claims.found_claim import FoundClaim
+from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
+from gentianlink.node.claims.repeat import compute_repeat_refusal
+from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.writers import make_writer
+from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.proxy.refusal import Refusal
 
-MAX_RECORDED_BODY_BYTES = 16 * 1024
+CLAIM_PREFIX = "claim/"
+RETRY_AFTER_MS = 500
+STOP_TIMEOUT_MS = 5000
 
 
 class AtMostOnce:
-    """Claims a key, runs its work, and records the outcome.
+    """Claims a key, runs its work, and records the result.
 
     Parameters
     ----------
-    table : TableClient
-        The table service.
     own_record : NodeRecord
         Record of this node.
+    table : ClaimTable
+        Claim rows.
+    settler : Settler
+        Retries writes in the background.
+    counts : ClaimCounts
+        Numbers of what happened.
+    is_live : callable
+        Takes a Claim and returns whether its holder may still be running.
+    answer_max_bytes : int
+        Largest body of an answer that is recorded.
     """
 
-    def __init__(self, table, own_record):
-        self._store = ClaimStore(table, own_record)
+    def __init__(self, own_record, table, settler, counts, is_live, answer_max_bytes):
+        self._own_record = own_record
+        self._table = table
+        self._settler = settler
+        self._counts = counts
+        self._is_live = is_live
+        self._answer_max_bytes = answer_max_bytes
         self._running = set()
 
+    @classmethod
+    def from_settings(cls, settings, own_record, table, is_live):
+        """Return the claims of a node for the ``claims`` section of the settings."""
+        counts = ClaimCounts()
+        claim_table = ClaimTable(table, make_writer(settings, table))
+        settler = Settler(settings.max_pending, counts)
+        return cls(
+            own_record,
+            claim_table,
+            settler,
+            counts,
+            is_live,
+            settings.answer_max_bytes,
+        )
+
+    @property
+    def counts(self):
+        """Numbers of what happened, by result."""
+        return self._counts.get_all()
+
     async def run_to_end(self, work):
         """Await work that goes on when its caller goes away.
 
@@ -43,9 +96,14 @@
         return await asyncio.shield(task)
 
     async def wait_idle(self):
-        """Wait until every started call has come to its end."""
+        """Wait until every started call has come to its end and is recorded.
+
+        Records wait for a bounded time only: the rows of those that are lost say that
+        the outcome is unknown.
+        """
         while self._running:
             await asyncio.wait(set(self._running))
+        await self._settler.wait_idle(STOP_TIMEOUT_MS)
 
     def make_relay(self, writer, version):
         """Return the relay of one at-most-once call.
@@ -62,17 +120,15 @@
         RecordingRelay
             Relay that keeps what is to be recorded.
         """
-        return RecordingRelay(writer, version, MAX_RECORDED_BODY_BYTES)
+        return RecordingRelay(writer, version, self._answer_max_bytes)
 
-    async def execute(self, call, entry, relay, run):
-        """Claim the key of a call, run the call once, and record its outcome.
+    async def execute(self, call, relay, run):
+        """Claim the key of a call, run the call once, and record its result.
 
         Parameters
         ----------
         call : Call
             The call.
-        entry : Entry
-            Entry of the catalogue.
         relay : RecordingRelay
             Takes the answer.
         run : callable
@@ -85,12 +141,105 @@
         Refusal or None
             None if an answer, new or recorded, was relayed whole.
         """
-        claim, refusal = await self._store.claim(entry, call)
+        if call.get_remaining_ms(get_monotonic_ms()) <= 0:
+            return Refusal(Reason.DEADLINE_PASSED)
+        if self._settler.is_full:
+            return self._refuse_for_store(Outcome.NOT_RUN)
+        claim = self._make_claim(call, get_now_ms())
+        try:
+            result = await self._acquire(call, claim)
+        except ClaimNotMade:
+            return self._refuse_for_store(Outcome.NOT_RUN)
+        except ClaimUnresolved as unresolved:
+            self._settler.start(functools.partial(self._table.abandon, unresolved))
+            return self._refuse_for_store(Outcome.UNKNOWN)
+        except TimeoutError:
+            return self._refuse_for_store(Outcome.UNKNOWN)
+        if isinstance(result, FoundClaim):
+            return await self._answer_repeat(result.claim, claim, relay)
+        self._counts.add("claimed")
+        return await self._run_held(result, relay, run)
+
+    def _make_claim(self, call, now_ms):
+        return Claim(
+            digest=compute_call_digest(call),
+            token=uuid.uuid4().hex,
+            node_id=self._own_record.node_id,
+            incarnation=self._own_record.incarnation,
+            claimed_ms=now_ms,
+        )
+
+    def _refuse_for_store(self, outcome):
+        self._counts.add(f"store-unavailable-{outcome.value}")
+        return Refusal(Reason.STORE_UNAVAILABLE, outcome, RETRY_AFTER_MS)
+
+    async def _acquire(self, call, claim):
+        work = self._table.acquire(get_claim_key(call.key), claim)
+        task = asyncio.get_running_loop().create_task(work)
+        remaining_ms = max(0.0, call.get_remaining_ms(get_monotonic_ms()))
+        done, _ = await asyncio.wait({task}, timeout=remaining_ms / 1000)
+        if done:
+            return task.result()
+        self._settler.start(functools.partial(self._give_up, task))
+        raise TimeoutError
+
+    async def _give_up(self, acquiring):
+        try:
+            result = await asyncio.shield(acquiring)
+        except ClaimNotMade:
+            return
+        except ClaimUnresolved as unresolved:
+            await self._table.abandon(unresolved)
+            return
+        if not isinstance(result, FoundClaim):
+            await self._table.write_result(result, ClaimState.RELEASED)
+
+    async def _answer_repeat(self, found, claim, relay):
+        is_live = self._is_live(found)
+        refusal = compute_repeat_refusal(found, claim, is_live, claim.claimed_ms)
         if refusal is not None:
+            self._counts.add(f"repeat-{refusal.reason.value}")
             return refusal
-        refusal = await run()
-        if refusal is not None:
-            return refusal
-        await self._store.record_done(claim, relay.status, b"")
-        await relay.end()
+        self._counts.add("replayed")
+        await relay.replay(found.answer)
         return None
+
+    async def _run_held(self, held, relay, run):
+        try:
+            refusal = await run()
+        except BaseException:
+            self._start_result(held, ClaimState.UNKNOWN)
+            raise
+        if refusal is None and relay.is_not_run:
+            refusal = Refusal(Reason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
+        if refusal is None:
+            answer = make_recorded_answer(relay.status, relay.headers, relay.kept_body)
+            self._start_result(held, ClaimState.DONE, answer)
+            await relay.end()
+            return None
+        if refusal.outcome is Outcome.NOT_RUN:
+            return await self._release(held, refusal)
+        self._start_result(held, ClaimState.UNKNOWN)
+        return refusal
+
+    def _start_result(self, held, state, answer=None):
+        self._counts.add(f"recorded-{state.value}")
+        step = functools.partial(self._table.write_result, held, state, answer)
+        self._settler.start(step)
+
+    async def _release(self, held, refusal):
+        self._counts.add("released")
+        release = functools.partial(self._table.write_result, held, ClaimState.RELEASED)
+        try:
+            await release()
+        except PlatformError:
+            self._settler.start(release)
+            return attrs.evolve(
+                refusal, outcome=Outcome.UNKNOWN, retry_after_ms=RETRY_AFTER_MS
+            )
+        return refusal
+
+
+def get_claim_key(key):
+    """Return the key of the row of an idempotency key."""
+    return f"{CLAIM_PREFIX}{key}"
--- a/packages/node/src/gentianlink/node/claims/claim.py
+++ b/packages/node/src/gentianlink/node/claims/claim.py
@@ -1,37 +1,59 @@
 """A durable claim of an idempotency key."""
 
+import hashlib
+
 import attrs
 
+from gentianlink.node.claims.claim_state import ClaimState
+from gentianlink.node.claims.recorded_answer import RecordedAnswer
+
 
 @attrs.frozen
 class Claim:
-    """Row that shows who may execute the work of a key.
+    """Content of a claim row: who may execute the work of a key, and what came of it.
 
     Attributes
     ----------
-    key : str
-        Idempotency key.
-    entry : str
-        Entry of the catalogue.
-    body_digest : str
-        Digest of the call's body.
+    digest : str
+        Digest of the call.
+    token : str
+        Identifier of the attempt that wrote the row.
     node_id : str
-        Node that claimed the key.
+        Node of the attempt.
     incarnation : int
         Incarnation of that node.
-    state : str
-        ``claimed``, ``released`` (not run) or ``done``.
-    status : int
-        Status of the recorded answer; 0 before there is one.
-    body : str
-        Recorded answer in Latin-1, if it was small.
+    claimed_ms : int
+        Wall clock of that node in milliseconds since the epoch.
+    state : ClaimState
+        What became of the work.
+    answer : RecordedAnswer or None
+        Answer of work that is done.
     """
 
-    key: str
-    entry: str
-    body_digest: str
+    digest: str
+    token: str
     node_id: str
     incarnation: int
-    state: str = "claimed"
-    status: int = 0
-    body: str = ""
+    claimed_ms: int
+    state: ClaimState = ClaimState.CLAIMED
+    answer: RecordedAnswer | None = None
+
+
+def compute_call_digest(call):
+    """Return the digest that tells a repeat from another call with the same key.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+
+    Returns
+    -------
+    str
+        SHA-256 over method, path with query, and body, in hexadecimal.
+    """
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.target.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/node/src/gentianlink/node/claims/group_writer.py
@@ -0,0 +1,149 @@
+"""Write the claim rows of many calls in one transaction."""
+
+import asyncio
+
+import attrs
+
+from gentianlink.core.errors import (
+    GentianlinkError,
+    PlatformOutcomeUnknown,
+    WriteConflict,
+)
+from gentianlink.node.background import start_task
+from gentianlink.platform.row import Row
+
+MAX_TRANSACTIONS = 2
+
+
+@attrs.frozen(eq=False)
+class _Put:
+    key: str
+    value: str
+    revision: int
+    future: asyncio.Future
+
+    @property
+    def check(self):
+        return Row(self.key, self.revision, "")
+
+    def fail(self, error):
+        if not self.future.done():
+            self.future.set_exception(error)
+
+    def succeed(self, revision):
+        if not self.future.done():
+            self.future.set_result(revision)
+
+
+class GroupWriter:
+    """Gathers conditional writes for a short time and commits them together.
+
+    A row that is at another revision fails alone: the rest of its batch is written
+    again without it. A batch never holds two writes of one row.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    max_rows : int
+        Largest number of rows in a transaction.
+    max_wait_ms : int
+        Time in milliseconds that the first write of a batch waits for others.
+    sleep : callable, optional
+        Coroutine function that waits for a time in seconds.
+    """
+
+    def __init__(self, table, max_rows, max_wait_ms, sleep=asyncio.sleep):
+        self._table = table
+        self._max_rows = max_rows
+        self._max_wait_ms = max_wait_ms
+        self._sleep = sleep
+        self._waiting = []
+        self._runners = 0
+
+    async def put(self, key, value, revision):
+        """Write a row if it is still at a revision.
+
+        Parameters
+        ----------
+        key : str
+            Key of the row.
+        value : str
+            Content of the row.
+        revision : int
+            Revision that the row must have; 0 if it must not exist.
+
+        Returns
+        -------
+        int
+            New revision of the row.
+
+        Raises
+        ------
+        WriteConflict
+            If the row is at another revision.
+        PlatformUnavailable
+            If nothing was written.
+        PlatformOutcomeUnknown
+            If the row may have been written, or may be later.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append(_Put(key, value, revision, future))
+        self._start_if_needed()
+        return await future
+
+    def _start_if_needed(self):
+        is_full = len(self._waiting) >= self._max_rows
+        if self._runners and not (is_full and self._runners < MAX_TRANSACTIONS):
+            return
+        self._runners += 1
+        start_task(self._run(), "claim batches")
+
+    async def _run(self):
+        try:
+            while self._waiting:
+                if len(self._waiting) < self._max_rows and self._max_wait_ms:
+                    await self._sleep(self._max_wait_ms / 1000)
+                await self._commit(self._take_batch())
+        finally:
+            self._runners -= 1
+
+    def _take_batch(self):
+        batch = {}
+        later = []
+        for put in self._waiting:
+            if put.key in batch or len(batch) >= self._max_rows:
+                later.append(put)
+            else:
+                batch[put.key] = put
+        self._waiting = later
+        return batch
+
+    async def _commit(self, batch):
+        try:
+            revision = await self._transact(batch)
+        except GentianlinkError as error:
+            _fail_all(batch, error)
+        except BaseException:
+            _fail_all(batch, PlatformOutcomeUnknown("batch ended"))
+            raise
+        else:
+            for put in batch.values():
+                put.succeed(revision)
+
+    async def _transact(self, batch):
+        while batch:
+            puts = [(put.key, put.value) for put in batch.values()]
+            checks = [put.check for put in batch.values()]
+            try:
+                return await self._table.transact(puts, checks)
+            except WriteConflict as error:
+                if error.key not in batch:
+                    raise PlatformOutcomeUnknown("conflict without row") from error
+                batch.pop(error.key).fail(error)
+        return 0
+
+
+def _fail_all(batch, error):
+    for put in batch.values():
+        put.fail(error)
--- a/packages/node/src/gentianlink/node/claims/recording_relay.py
+++ b/packages/node/src/gentianlink/node/claims/recording_relay.py
@@ -1,6 +1,10 @@
 """Relay an answer and keep what a repeat of the call will need."""
 
+from tornado.httputil import HTTPHeaders
+
+from gentianlink.core import headers as names
 from gentianlink.node.proxy.answer_relay import AnswerRelay
+from gentianlink.node.proxy.answer_writer import mark_done
 from gentianlink.node.proxy.errors import CallerGone
 
 
@@ -42,6 +46,29 @@
         """End the caller's answer if the caller is still there."""
         await self._relay(super().end())
 
+    async def replay(self, answer):
+        """Write a recorded answer as the whole answer.
+
+        Parameters
+        ----------
+        answer : RecordedAnswer
+            Answer of the call that was done.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection.
+        """
+        headers = HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        body = answer.body.encode("latin-1")
+        headers["Content-Length"] = str(len(body))
+        headers[names.REPLAY] = "true"
+        mark_done(headers, self._version)
+        await self._writer.start(answer.status, headers, body)
+        self._writer.finish()
+
     async def _relay(self, step):
         if self._is_caller_gone:
             step.close()
--- /dev/null
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -0,0 +1,193 @@
+import asyncio
+
+import pytest
+
+from gentianlink.core.outcome import Outcome
+from gentianlink.core.reason import Reason
+from gentianlink.node.claims.claim_state import ClaimState
+from gentianlink.node.claims.claim_table import ClaimTable
+from gentianlink.node.claims.errors import ClaimNotMade
+from gentianlink.node.claims.group_writer import GroupWriter
+from gentianlink.node.claims.held_claim import HeldClaim
+from gentianlink.testing.claim_checks import check_all
+from gentianlink.testing.claim_world import ClaimWorld
+from gentianlink.testing.schedule import Schedule, explore
+
+MAX_RUNS = 60_000
+
+
+def make_group_writer(table, sleep):
+    return GroupWriter(table, 8, 1, sleep)
+
+
+async def run_calls(nodes, schedule, faults, **options):
+    world = ClaimWorld(schedule, faults, **options)
+    for node_id in nodes:
+        world.submit(node_id)
+    await world.run_to_end()
+    world.end_faults()
+    repeat = world.submit("healthy")
+    await world.run_to_end()
+    await world.stop()
+    return world, repeat
+
+
+async def find_problems(nodes, faults, **options):
+    problems = []
+
+    async def run(schedule):
+        world, repeat = await run_calls(nodes, schedule, faults, **options)
+        for problem in check_all(world, repeat):
+            problems.append((problem, schedule.choices))
+
+    runs = await explore(run, MAX_RUNS)
+    print(f"{runs} schedules of {nodes} with {faults} faults")
+    return problems
+
+
+class UnfencedClaimTable(ClaimTable):
+    """Planted defect: a lost claim is taken for one that was not made."""
+
+    async def resolve(self, key, claim, base_revision):
+        raise ClaimNotMade(key)
+
+
+class TrustingClaimTable(ClaimTable):
+    """Planted defect: a lost claim is taken for one that was made."""
+
+    async def resolve(self, key, claim, base_revision):
+        return HeldClaim(key, claim, base_revision)
+
+
+class TakingClaimTable(ClaimTable):
+    """Planted defect: the claim of another attempt is taken over."""
+
+    async def acquire(self, key, claim):
+        result = await super().acquire(key, claim)
+        if isinstance(result, HeldClaim) or result.claim.state is ClaimState.DONE:
+            return result
+        return HeldClaim(key, claim, 0)
+
+
+class ForgettingClaimTable(ClaimTable):
+    """Planted defect: work whose outcome is unknown is released."""
+
+    async def write_result(self, held, state, answer=None):
+        if state is ClaimState.UNKNOWN:
+            state = ClaimState.RELEASED
+        await super().write_result(held, state, answer)
+
+
+class RepeatingGroupWriter(GroupWriter):
+    """Planted defect: a batch holds two writes of one row."""
+
+    def _take_batch(self):
+        batch = {number: put for number, put in enumerate(self._waiting)}
+        self._waiting = []
+        return batch
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize(
+        ("nodes", "faults", "make_writer"),
+        [
+            (["a"], 3, None),
+            (["a"], 2, make_group_writer),
+            (["a", "b"], 2, None),
+            (["a", "b"], 1, make_group_writer),
+            (["a", "a"], 1, make_group_writer),
+            (["a", "b", "c"], 0, None),
+        ],
+    )
+    def test_every_fault_at_every_step(self, nodes, faults, make_writer):
+        work = find_problems(nodes, faults, make_writer=make_writer)
+        assert asyncio.run(work) == []
+
+    @pytest.mark.parametrize(
+        ("nodes", "claim_table_class", "problem"),
+        [
+            (
+                ["a"],
+                UnfencedClaimTable,
+                "all were told not-run and the repeat is Reason.KEY_IN_PROGRESS",
+            ),
+            (["a", "b"], TrustingClaimTable, "key k executed 2 times"),
+            (["a", "b"], TakingClaimTable, "key k executed 2 times"),
+            (["a", "b"], ForgettingClaimTable, "key k executed 2 times"),
+        ],
+    )
+    def test_planted_defects_are_found(self, nodes, claim_table_class, problem):
+        work = find_problems(nodes, 1, claim_table_class=claim_table_class)
+        assert problem in {message for message, _ in asyncio.run(work)}
+
+    def test_planted_defect_in_batches_is_found(self):
+        def make_writer(table, sleep):
+            return RepeatingGroupWriter(table, 8, 1, sleep)
+
+        work = find_problems(["a", "a"], 0, make_writer=make_writer)
+        problems = {message for message, _ in asyncio.run(work)}
+        assert problems == {"key k executed 2 times"}
+
+    def test_repeat_gets_recorded_answer(self):
+        world, repeat = asyncio.run(run_calls(["a"], Schedule([]), 0))
+        assert [item.is_replay for item in world.submissions] == [False, True]
+        assert repeat.answer == b"answer to k b"
+        assert len(world.executions) == 1
+
+    def test_same_key_with_another_body_is_refused(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            world.submit("a", body=b"1")
+            await world.run_to_end()
+            other = world.submit("b", body=b"2")
+            await world.run_to_end()
+            return other, len(world.executions)
+
+        other, executions = asyncio.run(run())
+        assert other.reason is Reason.KEY_REUSED
+        assert other.outcome is Outcome.NOT_RUN
+        assert executions == 1
+
+    def test_large_answer_is_not_kept(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            world.submit("a", body=b"x" * 2000)
+            await world.run_to_end()
+            repeat = world.submit("b", body=b"x" * 2000)
+            await world.run_to_end()
+            return repeat
+
+        repeat = asyncio.run(run())
+        assert repeat.reason is Reason.ANSWER_NOT_KEPT
+        assert repeat.outcome is Outcome.DONE
+
+    def test_deadline_passes_during_claim(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            late = world.submit("a", deadline_ms=10)
+            while late.outcome is None:
+                await asyncio.sleep(0.005)
+            executions = len(world.executions)
+            await world.run_to_end()
+            repeat = world.submit("b")
+            await world.run_to_end()
+            return late, executions, repeat, world
+
+        late, executions, repeat, world = asyncio.run(run())
+        assert late.outcome is Outcome.UNKNOWN
+        assert late.reason is Reason.STORE_UNAVAILABLE
+        assert executions == 0
+        assert repeat.outcome is Outcome.DONE
+        assert world.executions == [repeat]
+
+    def test_passed_deadline_is_refused_without_a_claim(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            late = world.submit("a", deadline_ms=-1)
+            await world.run_to_end()
+            return late, world.table.writes
+
+        late, writes = asyncio.run(run())
+        assert late.outcome is Outcome.NOT_RUN
+        assert late.reason is Reason.DEADLINE_PASSED
+        assert writes == 0
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -10,6 +10,7 @@
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.liveness import make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
@@ -64,7 +65,12 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        self._claims = AtMostOnce(self._platform_table, own_record)
+        self._claims = AtMostOnce.from_settings(
+            settings.claims,
+            own_record,
+            self._platform_table,
+            make_is_live(self._membership),
+        )
         dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
         router = Router(own_record, dispatcher, self._pool, LoadView())
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -84,7 +84,7 @@
         if entry.work_class is WorkClass.AT_MOST_ONCE:
             relay = self._claims.make_relay(writer, version)
             run = functools.partial(self._exchange, call, target, relay)
-            return await self._claims.execute(call, entry, relay, run)
+            return await self._claims.execute(call, relay, run)
         relay = AnswerRelay(writer, version)
         refusal = await self._exchange(call, target, relay)
         if refusal is None:
--- a/packages/parser/src/gentianlink/parser/test_settings_file.py
+++ b/packages/parser/src/gentianlink/parser/test_settings_file.py
@@ -49,7 +49,7 @@
         assert settings is None
         assert [problem.format() for problem in problems] == [
             "bad.ini: [mash]: found an unknown section; allowed: "
-            "node, listen, platform, mesh, calls, log",
+            "node, listen, platform, mesh, calls, claims, log",
             "bad.ini: [node] id: found 'a b'; allowed: a word without white space",
             "bad.ini: [node] data_centre: found nothing; "
             "allowed: a word without white space",
--- a/packages/platform/src/gentianlink/platform/http.py
+++ b/packages/platform/src/gentianlink/platform/http.py
@@ -12,6 +12,7 @@
 
 MAX_ANSWER_BYTES = 64 << 20
 STATUS_SERVER_ERROR = 500
+REFUSED_STATUSES = frozenset((429, 503))
 
 
 async def send(method, url, timeout_ms, body=None):
@@ -56,8 +57,10 @@
         raise PlatformOutcomeUnknown(str(error)) from error
     except (HTTPClientError, OSError) as error:
         raise PlatformOutcomeUnknown(type(error).__name__) from error
-    if response.code >= STATUS_SERVER_ERROR:
+    if response.code in REFUSED_STATUSES:
         raise PlatformUnavailable(f"status {response.code}")
+    if response.code >= STATUS_SERVER_ERROR:
+        raise PlatformOutcomeUnknown(f"status {response.code}")
     return response
 
 
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/claim_world.py
@@ -0,0 +1,362 @@
+"""Table, target and nodes in one process, where a schedule picks every next event."""
+
+import asyncio
+import functools
+
+import attrs
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from gentianlink.core.errors import (
+    PlatformOutcomeUnknown,
+    PlatformUnavailable,
+    WriteConflict,
+)
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.outcome import Outcome
+from gentianlink.core.reason import Reason
+from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.claim_table import ClaimTable
+from gentianlink.node.claims.direct_writer import DirectWriter
+from gentianlink.node.claims.settler import Settler
+from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.proxy.call import Call
+from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.platform.row import Row
+from gentianlink.testing.table_state import TableState
+
+DEADLINE_MS = 3_600_000
+QUIET_ROUNDS = 12
+ANSWER_MAX_BYTES = 1024
+
+
+@attrs.define(eq=False)
+class Event:
+    """Something that waits until the schedule lets it happen."""
+
+    node_id: str
+    kind: str
+    perform: object
+    future: asyncio.Future
+
+
+@attrs.define(eq=False)
+class Submission:
+    """One call as its caller sees it."""
+
+    number: int
+    node_id: str
+    key: str
+    body: bytes
+    deadline_ms: float
+    status: int = 0
+    headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
+    answer: bytes = b""
+    outcome: Outcome | None = None
+    reason: Reason | None = None
+    executions_when_told: int = 0
+
+    @property
+    def is_replay(self):
+        """Whether the answer is a recorded one."""
+        return self.headers.get("X-Gentianlink-Replay") == "true"
+
+
+class FakeWriter:
+    """The caller's side of an exchange."""
+
+    def __init__(self, submission):
+        self._submission = submission
+        self.is_started = False
+
+    async def start(self, status, headers, chunk=b""):
+        """Take the start of an answer."""
+        self.is_started = True
+        self._submission.status = status
+        self._submission.headers = headers
+        self._submission.answer = chunk
+
+    async def write(self, chunk):
+        """Take a part of an answer."""
+        self._submission.answer += chunk
+
+    def finish(self):
+        """Take the end of an answer."""
+
+
+class FakeTable:
+    """The table service as one node sees it."""
+
+    def __init__(self, world, node_id):
+        self._world = world
+        self._node_id = node_id
+
+    async def read(self, key):
+        """Read a row."""
+
+        def perform():
+            return Row(key, *self._world.table.read(key))
+
+        return await self._world.wait(self._node_id, "read", perform)
+
+    async def transact(self, puts, checks=()):
+        """Write rows if the checked ones are still at their revisions."""
+
+        def perform():
+            pairs = [(row.key, row.revision) for row in checks]
+            conflict, revision = self._world.table.transact(pairs, puts)
+            if conflict is not None:
+                raise WriteConflict(*conflict)
+            return revision
+
+        return await self._world.wait(self._node_id, "write", perform)
+
+
+class ClaimWorld:
+    """Nodes that share one table and one target.
+
+    Parameters
+    ----------
+    schedule : Schedule
+        Picks every next event and its fault.
+    faults : int
+        Number of faults that may happen.
+    make_writer : callable, optional
+        Takes a table and the sleep function and returns the writer of claim rows.
+    claim_table_class : type, optional
+        Class of the claim rows; tests of the checker plant defects in it.
+    """
+
+    def __init__(
+        self, schedule, faults, make_writer=None, claim_table_class=ClaimTable
+    ):
+        self._schedule = schedule
+        self._faults = faults
+        self._make_writer = make_writer or (lambda table, sleep: DirectWriter(table))
+        self._claim_table_class = claim_table_class
+        self._events = []
+        self._delayed = []
+        self._claims = {}
+        self._activity = 0
+        self._tasks = []
+        self.table = TableState()
+        self.dead = set()
+        self.executions = []
+        self.submissions = []
+        self.is_target_uncertain = False
+
+    async def wait(self, node_id, kind, perform):
+        """Wait until the schedule lets an event happen.
+
+        Parameters
+        ----------
+        node_id : str
+            Node that waits.
+        kind : str
+            Kind of the event: ``read``, ``write``, ``target`` or ``sleep``.
+        perform : callable
+            Effect of the event.
+
+        Returns
+        -------
+        object
+            Result of `perform`.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._events.append(Event(node_id, kind, perform, future))
+        self._activity += 1
+        return await future
+
+    def submit(self, node_id, key="k", body=b"b", deadline_ms=DEADLINE_MS):
+        """Send a call to a node.
+
+        Parameters
+        ----------
+        node_id : str
+            The node.
+        key : str, optional
+            Idempotency key.
+        body : bytes, optional
+            Body of the call.
+        deadline_ms : float, optional
+            Time that the caller allows in milliseconds.
+
+        Returns
+        -------
+        Submission
+            What the caller is told, later.
+        """
+        submission = Submission(len(self.submissions), node_id, key, body, deadline_ms)
+        self.submissions.append(submission)
+        work = self._execute(submission)
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        return submission
+
+    def _get_claims(self, node_id):
+        if node_id not in self._claims:
+            self._claims[node_id] = self._make_claims(node_id)
+        return self._claims[node_id]
+
+    def _make_claims(self, node_id):
+        table = FakeTable(self, node_id)
+
+        async def sleep(seconds):
+            await self.wait(node_id, "sleep", lambda: None)
+
+        counts = ClaimCounts()
+        return AtMostOnce(
+            NodeRecord(node_id, 1, 1, "r", "d", "127.0.0.1", 1, 2, 3),
+            self._claim_table_class(table, self._make_writer(table, sleep)),
+            Settler(100, counts, sleep),
+            counts,
+            lambda claim: claim.node_id not in self.dead,
+            ANSWER_MAX_BYTES,
+        )
+
+    async def _execute(self, submission):
+        claims = self._get_claims(submission.node_id)
+        call = Call(
+            "POST",
+            "/redeem",
+            HTTPHeaders(),
+            submission.body,
+            get_monotonic_ms() + submission.deadline_ms,
+            submission.key,
+        )
+        relay = claims.make_relay(FakeWriter(submission), 1)
+        run = functools.partial(self._run, submission, relay)
+        self._tell(submission, await claims.execute(call, relay, run))
+
+    def _tell(self, submission, refusal):
+        submission.outcome = Outcome.DONE if refusal is None else refusal.outcome
+        submission.reason = None if refusal is None else refusal.reason
+        submission.executions_when_told = self.count_executions(submission)
+
+    async def _run(self, submission, relay):
+        def perform():
+            self.executions.append(submission)
+            return None
+
+        refusal = await self.wait(submission.node_id, "target", perform)
+        if refusal is not None:
+            return refusal
+        relay.headers_received(ResponseStartLine("", 200, ""), HTTPHeaders())
+        await relay.data_received(make_answer(submission.key, submission.body))
+        relay.finish()
+        return None
+
+    def count_executions(self, submission):
+        """Return how often the target executed a submission."""
+        return self.executions.count(submission)
+
+    async def run_to_end(self):
+        """Let events happen until nothing waits and every delayed write has landed."""
+        while True:
+            await self._wait_until_quiet()
+            options = self._get_options()
+            if not options:
+                return
+            self._schedule.choose(options)()
+
+    async def stop(self):
+        """Cancel every task that is left."""
+        own = {asyncio.current_task()}
+        while tasks := asyncio.all_tasks() - own:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def end_faults(self):
+        """Let no further fault happen."""
+        self._faults = 0
+
+    async def _wait_until_quiet(self):
+        quiet_rounds = 0
+        seen = self._activity
+        while quiet_rounds < QUIET_ROUNDS:
+            await asyncio.sleep(0)
+            quiet_rounds = quiet_rounds + 1 if seen == self._activity else 0
+            seen = self._activity
+
+    def _get_options(self):
+        live = [event for event in self._events if event.node_id not in self.dead]
+        sleeping = [event for event in live if event.kind == "sleep"]
+        ready = [event for event in live if event.kind != "sleep"]
+        options = []
+        for event in ready or sleeping[:1]:
+            options.append(functools.partial(self._let_happen, event))
+        for effect in self._delayed:
+            options.append(functools.partial(self._land, effect))
+        if self._faults:
+            for event in ready:
+                options.extend(self._get_faults(event))
+        return options
+
+    def _get_faults(self, event):
+        yield functools.partial(self._kill, event.node_id, False)
+        yield functools.partial(self._kill, event.node_id, True)
+        yield functools.partial(self._lose, event)
+        if event.kind == "read":
+            return
+        yield functools.partial(self._refuse, event)
+        yield functools.partial(self._delay, event)
+
+    def _let_happen(self, event):
+        self._events.remove(event)
+        try:
+            event.future.set_result(event.perform())
+        except WriteConflict as error:
+            event.future.set_exception(error)
+
+    def _refuse(self, event):
+        self._use_fault(event)
+        if event.kind == "target":
+            event.future.set_result(Refusal(Reason.TARGET_UNREACHABLE))
+            return
+        event.future.set_exception(PlatformUnavailable("down"))
+
+    def _lose(self, event):
+        self._use_fault(event)
+        self._perform_unseen(event.perform)
+        self._fail_unknown(event)
+
+    def _delay(self, event):
+        self._use_fault(event)
+        self._delayed.append(event.perform)
+        self._fail_unknown(event)
+
+    def _kill(self, node_id, do_writes_land):
+        self._faults -= 1
+        self.dead.add(node_id)
+        if not do_writes_land:
+            return
+        for event in self._events:
+            if event.node_id == node_id and event.kind in ("write", "target"):
+                self._delayed.append(event.perform)
+
+    def _land(self, effect):
+        self._delayed.remove(effect)
+        self._perform_unseen(effect)
+
+    def _perform_unseen(self, perform):
+        try:
+            perform()
+        except WriteConflict:
+            return
+
+    def _use_fault(self, event):
+        self._faults -= 1
+        self._events.remove(event)
+
+    def _fail_unknown(self, event):
+        if event.kind == "target":
+            self.is_target_uncertain = True
+            refusal = Refusal(Reason.TARGET_LOST, Outcome.UNKNOWN)
+            event.future.set_result(refusal)
+            return
+        event.future.set_exception(PlatformOutcomeUnknown("lost"))
+
+
+def make_answer(key, body):
+    """Return the target's answer to a call."""
+    return b"answer to " + key.encode() + b" " + body
