Bound the retention of claims and weigh ways of writing them

Cause: claim rows were never removed, and every call cost two transactions. Change: rows of keys that are UUIDs of version 7 are removed after twice the retention, and such a key is refused after one retention; rows of other keys lose their answers only. The first node by rank cleans, a bounded number of rows a step. The stand-in can keep to rates of reads and writes, counted by transaction or row, and can let a transaction land late. Counts by result are metrics. No wait became the default.

--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -61,9 +61,12 @@
     """Section ``claims``: at-most-once execution."""
 
     batch_rows: int = integer(1, 1000, default=64)
-    batch_wait_ms: int = integer(0, 1000, default=2)
+    batch_wait_ms: int = integer(0, 1000, default=0)
     max_pending: int = integer(1, 1_000_000, default=2000)
     answer_max_bytes: int = integer(0, 1 << 20, default=16 * 1024)
+    retention_hours: int = integer(1, 8760, default=24)
+    clean_rows: int = integer(1, 1000, default=100)
+    clean_period_ms: int = integer(100, 600_000, default=5000)
 
 
 @attrs.frozen
--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -11,7 +11,6 @@
 from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.claim import Claim, compute_call_digest
-from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.claim_table import ClaimTable
 from gentianlink.node.claims.errors import ClaimNotMade, ClaimUnresolved
@@ -19,14 +18,15 @@
 from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
 from gentianlink.node.claims.repeat import compute_repeat_refusal
+from gentianlink.node.claims.retention import get_claim_key, is_expired
 from gentianlink.node.claims.settler import Settler
 from gentianlink.node.claims.writers import make_writer
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.proxy.refusal import Refusal
 
-CLAIM_PREFIX = "claim/"
 RETRY_AFTER_MS = 500
 STOP_TIMEOUT_MS = 5000
+MS_PER_HOUR = 3_600_000
 
 
 class AtMostOnce:
@@ -44,23 +44,34 @@
         Numbers of what happened.
     is_live : callable
         Takes a Claim and returns whether its holder may still be running.
-    answer_max_bytes : int
-        Largest body of an answer that is recorded.
+    settings : ClaimSettings
+        Bounds on answers and retention.
+    get_now_ms : callable, optional
+        Returns the present time in milliseconds since the epoch.
     """
 
-    def __init__(self, own_record, table, settler, counts, is_live, answer_max_bytes):
+    def __init__(
+        self,
+        own_record,
+        table,
+        settler,
+        counts,
+        is_live,
+        settings,
+        get_now_ms=get_now_ms,
+    ):
         self._own_record = own_record
         self._table = table
         self._settler = settler
         self._counts = counts
         self._is_live = is_live
-        self._answer_max_bytes = answer_max_bytes
+        self._settings = settings
+        self._get_now_ms = get_now_ms
         self._running = set()
 
     @classmethod
-    def from_settings(cls, settings, own_record, table, is_live):
+    def from_settings(cls, settings, own_record, table, counts, is_live):
         """Return the claims of a node for the ``claims`` section of the settings."""
-        counts = ClaimCounts()
         claim_table = ClaimTable(table, make_writer(settings, table))
         settler = Settler(settings.max_pending, counts)
         return cls(
@@ -69,13 +80,13 @@
             settler,
             counts,
             is_live,
-            settings.answer_max_bytes,
+            settings,
         )
 
     @property
-    def counts(self):
-        """Numbers of what happened, by result."""
-        return self._counts.get_all()
+    def pending(self):
+        """Numbers of calls that run and of writes that wait, by kind."""
+        return {"calls": len(self._running), "writes": self._settler.pending}
 
     async def run_to_end(self, work):
         """Await work that goes on when its caller goes away.
@@ -120,7 +131,7 @@
         RecordingRelay
             Relay that keeps what is to be recorded.
         """
-        return RecordingRelay(writer, version, self._answer_max_bytes)
+        return RecordingRelay(writer, version, self._settings.answer_max_bytes)
 
     async def execute(self, call, relay, run):
         """Claim the key of a call, run the call once, and record its result.
@@ -143,9 +154,11 @@
         """
         if call.get_remaining_ms(get_monotonic_ms()) <= 0:
             return Refusal(Reason.DEADLINE_PASSED)
+        if self._is_expired(call):
+            return self._refuse_expired()
         if self._settler.is_full:
             return self._refuse_for_store(Outcome.NOT_RUN)
-        claim = self._make_claim(call, get_now_ms())
+        claim = self._make_claim(call, self._get_now_ms())
         try:
             result = await self._acquire(call, claim)
         except ClaimNotMade:
@@ -158,6 +171,9 @@
         if isinstance(result, FoundClaim):
             return await self._answer_repeat(result.claim, claim, relay)
         self._counts.add("claimed")
+        if self._is_expired(call):
+            # The row of an earlier execution may have been removed during a pause.
+            return await self._release(result, self._refuse_expired())
         return await self._run_held(result, relay, run)
 
     def _make_claim(self, call, now_ms):
@@ -169,6 +185,14 @@
             claimed_ms=now_ms,
         )
 
+    def _is_expired(self, call):
+        retention_ms = self._settings.retention_hours * MS_PER_HOUR
+        return is_expired(call.key, retention_ms, self._get_now_ms())
+
+    def _refuse_expired(self):
+        self._counts.add("key-expired")
+        return Refusal(Reason.KEY_EXPIRED, Outcome.UNKNOWN)
+
     def _refuse_for_store(self, outcome):
         self._counts.add(f"store-unavailable-{outcome.value}")
         return Refusal(Reason.STORE_UNAVAILABLE, outcome, RETRY_AFTER_MS)
@@ -238,8 +262,3 @@
                 refusal, outcome=Outcome.UNKNOWN, retry_after_ms=RETRY_AFTER_MS
             )
         return refusal
-
-
-def get_claim_key(key):
-    """Return the key of the row of an idempotency key."""
-    return f"{CLAIM_PREFIX}{key}"
--- a/packages/node/src/gentianlink/node/claims/claim_counts.py
+++ b/packages/node/src/gentianlink/node/claims/claim_counts.py
@@ -9,9 +9,9 @@
     def __init__(self):
         self._counts = collections.Counter()
 
-    def add(self, result):
-        """Count one result."""
-        self._counts[result] += 1
+    def add(self, result, number=1):
+        """Count a result."""
+        self._counts[result] += number
 
     def get_all(self):
         """Return the numbers by result."""
--- a/packages/node/src/gentianlink/node/claims/liveness.py
+++ b/packages/node/src/gentianlink/node/claims/liveness.py
@@ -1,7 +1,9 @@
-"""Whether the holder of a claim may still be running."""
+"""What claims ask of membership: which holder may be running, who cleans up."""
 
 from gentianlink.core.node_state import NodeState
+from gentianlink.ops.rank import get_ranked
 
+CLEANER_ROLE = "claim-cleaner"
 LIVE_STATES = frozenset((NodeState.ALIVE, NodeState.SUSPECT))
 
 
@@ -31,3 +33,24 @@
         return record.state in LIVE_STATES
 
     return is_live
+
+
+def make_is_cleaner(membership):
+    """Return a function that says whether this node ranks first for cleaning up.
+
+    Parameters
+    ----------
+    membership : Membership
+        What this node knows of other nodes.
+
+    Returns
+    -------
+    callable
+        Takes nothing and returns a bool.
+    """
+
+    def is_cleaner():
+        names = [record.node_id for record in membership.get_live_nodes()]
+        return get_ranked(CLEANER_ROLE, names)[0] == membership.own_record.node_id
+
+    return is_cleaner
--- a/packages/node/src/gentianlink/node/claims/test_at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -9,11 +9,14 @@
 from gentianlink.node.claims.errors import ClaimNotMade
 from gentianlink.node.claims.group_writer import GroupWriter
 from gentianlink.node.claims.held_claim import HeldClaim
+from gentianlink.node.claims.retention import get_claim_key
 from gentianlink.testing.claim_checks import check_all
 from gentianlink.testing.claim_world import ClaimWorld
 from gentianlink.testing.schedule import Schedule, explore
 
 MAX_RUNS = 60_000
+DAY_MS = 24 * 3_600_000
+TIMED_KEY = "00000000-0000-7000-8000-000000000000"
 
 
 def make_group_writer(table, sleep):
@@ -191,3 +194,32 @@
         assert late.outcome is Outcome.NOT_RUN
         assert late.reason is Reason.DEADLINE_PASSED
         assert writes == 0
+
+    def test_expired_key_is_refused(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            world.now_ms = DAY_MS + 1
+            old = world.submit("a", TIMED_KEY)
+            await world.run_to_end()
+            return old, world
+
+        old, world = asyncio.run(run())
+        assert (old.reason, old.outcome) == (Reason.KEY_EXPIRED, Outcome.UNKNOWN)
+        assert world.executions == []
+        assert world.table.writes == 0
+
+    def test_repeat_that_paused_past_the_removal_is_not_executed(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            world.submit("a", TIMED_KEY)
+            await world.run_to_end()
+            paused = world.submit("b", TIMED_KEY)
+            await asyncio.sleep(0)
+            world.now_ms = 2 * DAY_MS + 1
+            world.table.transact([], [], [get_claim_key(TIMED_KEY)])
+            await world.run_to_end()
+            return paused, world
+
+        paused, world = asyncio.run(run())
+        assert (paused.reason, paused.outcome) == (Reason.KEY_EXPIRED, Outcome.UNKNOWN)
+        assert len(world.executions) == 1
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -17,6 +17,12 @@
         self._platform = Gauge(
             "gentianlink_platform_requests", "Requests to the platform by kind."
         )
+        self._claims = Gauge(
+            "gentianlink_claims", "Results of at-most-once calls by kind."
+        )
+        self._claims_pending = Gauge(
+            "gentianlink_claims_pending", "At-most-once calls and writes under way."
+        )
 
     def update(self, status):
         """Take over the numbers of a status.
@@ -33,3 +39,7 @@
             self._calls.set({"outcome": outcome}, count)
         self._platform.set({"kind": "read"}, status.platform_reads)
         self._platform.set({"kind": "write"}, status.platform_writes)
+        for result, count in status.claims.items():
+            self._claims.set({"result": result}, count)
+        for kind, count in status.claims_pending.items():
+            self._claims_pending.set({"kind": kind}, count)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -10,7 +10,9 @@
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
-from gentianlink.node.claims.liveness import make_is_live
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
+from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
@@ -65,10 +67,12 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
+        self._claim_counts = ClaimCounts()
         self._claims = AtMostOnce.from_settings(
             settings.claims,
             own_record,
             self._platform_table,
+            self._claim_counts,
             make_is_live(self._membership),
         )
         dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
@@ -121,6 +125,8 @@
             },
             platform_reads=self._platform_table.reads,
             platform_writes=self._platform_table.writes,
+            claims=self._claim_counts.get_all(),
+            claims_pending=self._claims.pending,
         )
 
     def update_metrics(self):
@@ -161,6 +167,7 @@
             self._run_heartbeats(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
@@ -207,6 +214,14 @@
             self._local_targets.expire(get_monotonic_ms())
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
+    async def _run_cleaner(self):
+        settings = self._settings.claims
+        cleaner = Cleaner.from_settings(
+            settings, self._platform_table, self._claim_counts
+        )
+        is_cleaner = make_is_cleaner(self._membership)
+        await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
+
     async def _publish_own_row(self):
         own = self._membership.own_record
         key = get_node_key(own.data_centre, own.node_id)
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -35,6 +35,10 @@
         Reads sent to the platform.
     platform_writes : int
         Writes sent to the platform.
+    claims : dict of str to int
+        Results of at-most-once calls by kind.
+    claims_pending : dict of str to int
+        At-most-once calls and writes under way.
     """
 
     node_id: str
@@ -50,3 +54,5 @@
     outcomes: dict[str, int]
     platform_reads: int
     platform_writes: int
+    claims: dict[str, int]
+    claims_pending: dict[str, int]
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -99,7 +99,7 @@
             raise PlatformAnswerInvalid("no rows")
         return [_decode_row(row) for row in rows]
 
-    async def transact(self, puts, checks=()):
+    async def transact(self, puts, checks=(), deletes=()):
         """Write rows if each checked row is still at its revision.
 
         Parameters
@@ -108,6 +108,8 @@
             Keys and values to write; all of them or none.
         checks : sequence of Row, optional
             Rows that must still be at the given revision.
+        deletes : sequence of str, optional
+            Keys of rows to remove with the same transaction.
 
         Returns
         -------
@@ -130,6 +132,7 @@
                     {"key": row.key, "revision": row.revision} for row in checks
                 ],
                 "puts": [{"key": key, "value": value} for key, value in puts],
+                "deletes": list(deletes),
             }
         )
         response = await send("POST", f"{self._url}/transact", self._timeout_ms, body)
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/claim_experiment.py
@@ -0,0 +1,252 @@
+"""Measure claims a second and their latency for each way of writing claims.
+
+One table service stand-in runs as a process with the limits of the platform. Four nodes
+run in this process. Each call claims its key and records a small answer; nothing is
+executed in between. ``saturated`` keeps a fixed number of calls open; ``steady`` starts
+a fixed number of calls a second. ``leased`` is an upper bound: a node renews one row a
+second and then claims the keys of its range in memory.
+"""
+
+import asyncio
+import json
+import time
+import uuid
+
+import attrs
+import typer
+import uvloop
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from gentianlink.core.codec import encode
+from gentianlink.core.errors import PlatformError, WriteConflict
+from gentianlink.node.claims.claim import Claim
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.claim_state import ClaimState
+from gentianlink.node.claims.claim_table import ClaimTable
+from gentianlink.node.claims.direct_writer import DirectWriter
+from gentianlink.node.claims.errors import ClaimError
+from gentianlink.node.claims.group_writer import GroupWriter
+from gentianlink.node.claims.held_claim import HeldClaim
+from gentianlink.node.claims.recorded_answer import RecordedAnswer
+from gentianlink.node.claims.settler import Settler
+from gentianlink.platform.row import Row
+from gentianlink.platform.table_client import TableClient
+from gentianlink.testing.fleet import Fleet
+from gentianlink.testing.table_limits import TableLimits
+
+NODES = 4
+SATURATED_CALLS = 400
+STEADY_CALLS_PER_S = 60
+RENEW_S = 1.0
+TABLE_TIMEOUT_MS = 2000
+ANSWER = RecordedAnswer(200, (("Content-Type", "application/json"),), "{}" * 50)
+
+
+@attrs.frozen
+class Way:
+    """One way of writing claims."""
+
+    name: str
+    make_writer: object
+    count_rows: bool = False
+    repeat_share: float = 0.0
+
+
+class LeasedWriter:
+    """Claims in memory under a lease of a key range; not durable."""
+
+    def __init__(self, table):
+        self._table = table
+        self._rows = {}
+        self._key = f"range/{uuid.uuid4().hex}"
+        self._revision = 0
+        self._lease = asyncio.Lock()
+        self._expires_s = 0.0
+
+    async def put(self, key, value, revision):
+        """Write a row in memory while the lease holds."""
+        async with self._lease:
+            if time.monotonic() >= self._expires_s:
+                await self._renew()
+        if self._rows.get(key, 0) != revision:
+            raise WriteConflict(key, self._rows[key])
+        self._rows[key] = revision + 1
+        return revision + 1
+
+    async def _renew(self):
+        check = Row(self._key, self._revision, "")
+        self._revision = await self._table.transact([(self._key, "held")], [check])
+        self._expires_s = time.monotonic() + RENEW_S
+
+
+@attrs.define
+class Figures:
+    """What one run gave."""
+
+    latencies_ms: list = attrs.field(factory=list)
+    refused: int = 0
+    repeats: int = 0
+
+    def get_quantile(self, share):
+        """Return a quantile of the latency of claims in milliseconds."""
+        ordered = sorted(self.latencies_ms) or [float("nan")]
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class Caller:
+    """Sends claims and results through several nodes.
+
+    Parameters
+    ----------
+    url : str
+        Address of the table service.
+    way : Way
+        Way of writing claims.
+    """
+
+    def __init__(self, url, way):
+        self._way = way
+        self._settler = Settler(1_000_000, ClaimCounts())
+        self._tables = []
+        self.clients = []
+        self.figures = Figures()
+        for _ in range(NODES):
+            client = TableClient(url, TABLE_TIMEOUT_MS)
+            self.clients.append(client)
+            self._tables.append(ClaimTable(client, way.make_writer(client)))
+        self._number = 0
+        self._prefix = uuid.uuid4().hex
+
+    async def call(self):
+        """Claim one key and record its answer."""
+        self._number += 1
+        number = self._number
+        repeat_every = int(1 / self._way.repeat_share) if self._way.repeat_share else 0
+        if repeat_every and number % repeat_every == 0:
+            number = max(1, number - SATURATED_CALLS - 1)
+        table = self._tables[number % NODES]
+        claim = Claim("digest" * 10, uuid.uuid4().hex, "node", 1, 1)
+        started_s = time.monotonic()
+        try:
+            result = await table.acquire(f"claim/{self._prefix}-{number}", claim)
+        except ClaimError:
+            self.figures.refused += 1
+            await asyncio.sleep(0.1)
+            return
+        self.figures.latencies_ms.append((time.monotonic() - started_s) * 1000)
+        if not isinstance(result, HeldClaim):
+            self.figures.repeats += 1
+            return
+        try:
+            await table.write_result(result, ClaimState.DONE, ANSWER)
+        except PlatformError:
+            self._settler.start(
+                lambda: table.write_result(result, ClaimState.DONE, ANSWER)
+            )
+
+    async def run_saturated(self, seconds):
+        """Keep a fixed number of calls open for a time."""
+        end_s = time.monotonic() + seconds
+
+        async def repeat():
+            while time.monotonic() < end_s:
+                await self.call()
+
+        await asyncio.gather(*(repeat() for _ in range(SATURATED_CALLS)))
+
+    async def run_steady(self, seconds):
+        """Start calls at a fixed rate for a time."""
+        start_s = time.monotonic()
+        tasks = []
+        for number in range(int(seconds * STEADY_CALLS_PER_S)):
+            due_s = start_s + number / STEADY_CALLS_PER_S
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            tasks.append(asyncio.create_task(self.call()))
+        await asyncio.gather(*tasks)
+
+
+async def set_limits(url, limits):
+    """Set the limits of the stand-in, once it answers."""
+    for _ in range(200):
+        try:
+            await AsyncHTTPClient().fetch(
+                f"{url}/limits/table", method="PUT", body=encode(limits)
+            )
+            return
+        except (HTTPError, OSError):
+            await asyncio.sleep(0.05)
+    raise TimeoutError(url)
+
+
+async def get_writes(url):
+    """Return the number of transactions that the stand-in ran."""
+    response = await AsyncHTTPClient().fetch(f"{url}/counts")
+    return json.loads(response.body)["writes"]
+
+
+async def measure(url, way, load, seconds, writes_per_s):
+    """Print one line of figures."""
+    limits = TableLimits(writes_per_s, 2000, 1000, way.count_rows)
+    await set_limits(url, limits)
+    caller = Caller(f"{url}/table", way)
+    before = await get_writes(url)
+    started_s = time.monotonic()
+    await getattr(caller, f"run_{load}")(seconds)
+    elapsed_s = time.monotonic() - started_s
+    writes = await get_writes(url) - before
+    figures = caller.figures
+    claims = len(figures.latencies_ms)
+    unit = "row" if way.count_rows else "transaction"
+    print(
+        f"{way.name:28} {unit:12} {load:10} {claims / elapsed_s:9.0f}"
+        f" {figures.get_quantile(0.5):8.1f} {figures.get_quantile(0.99):8.1f}"
+        f" {figures.refused:8} {figures.repeats:8} {writes / elapsed_s:9.0f}",
+        flush=True,
+    )
+
+
+def get_ways():
+    """Return the ways that are weighed."""
+
+    def group(rows, wait_ms):
+        return lambda table: GroupWriter(table, rows, wait_ms)
+
+    return [
+        Way("one write a call", DirectWriter),
+        Way("group 8 rows 2 ms", group(8, 2)),
+        Way("group 64 rows 0 ms", group(64, 0)),
+        Way("group 64 rows 2 ms", group(64, 2)),
+        Way("group 64 rows 10 ms", group(64, 10)),
+        Way("group 256 rows 10 ms", group(256, 10)),
+        Way("group 64 rows 2 ms, repeats", group(64, 2), False, 0.05),
+        Way("one write a call", DirectWriter, True),
+        Way("group 64 rows 2 ms", group(64, 2), True),
+        Way("leased ranges (bound)", LeasedWriter),
+    ]
+
+
+async def run(seconds, writes_per_s):
+    """Measure every way under both loads."""
+    fleet = Fleet("claims")
+    fleet.start_platform()
+    AsyncHTTPClient(max_body_size=64 << 20, max_clients=1000)
+    header = ("way", "counted", "load", "claims/s", "p50 ms", "p99 ms")
+    print(
+        "{:28} {:12} {:10} {:>9} {:>8} {:>8}".format(*header),
+        " refused  repeats  writes/s",
+    )
+    try:
+        for way in get_ways():
+            for load in ("saturated", "steady"):
+                await measure(fleet.platform_url, way, load, seconds, writes_per_s)
+    finally:
+        fleet.stop()
+
+
+def main(seconds: float = 3.0, writes_per_s: float = 300.0):
+    """Run the experiment."""
+    uvloop.run(run(seconds, writes_per_s))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/testing/src/gentianlink/testing/claim_world.py
+++ b/packages/testing/src/gentianlink/testing/claim_world.py
@@ -14,6 +14,7 @@
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
+from gentianlink.core.settings import ClaimSettings
 from gentianlink.node.claims.at_most_once import AtMostOnce
 from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.claim_table import ClaimTable
@@ -144,6 +145,7 @@
         self.executions = []
         self.submissions = []
         self.is_target_uncertain = False
+        self.now_ms = 0
 
     async def wait(self, node_id, kind, perform):
         """Wait until the schedule lets an event happen.
@@ -210,7 +212,8 @@
             Settler(100, counts, sleep),
             counts,
             lambda claim: claim.node_id not in self.dead,
-            ANSWER_MAX_BYTES,
+            ClaimSettings(answer_max_bytes=ANSWER_MAX_BYTES),
+            lambda: self.now_ms,
         )
 
     async def _execute(self, submission):
--- a/packages/testing/src/gentianlink/testing/faults.py
+++ b/packages/testing/src/gentianlink/testing/faults.py
@@ -17,9 +17,13 @@
         Let requests take effect and close the connection without an answer.
     frozen : bool
         Take requests and do nothing.
+    land_late_ms : int
+        Close the connection of a transaction without an answer and let it take effect
+        after this time in milliseconds.
     """
 
     down: bool = False
     delay_ms: int = 0
     lose_answers: bool = False
     frozen: bool = False
+    land_late_ms: int = 0
--- a/packages/testing/src/gentianlink/testing/platform_service.py
+++ b/packages/testing/src/gentianlink/testing/platform_service.py
@@ -8,7 +8,12 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from gentianlink.testing.fault_handler import FaultHandler, FaultsHandler, FaultState
+from gentianlink.testing.fault_handler import (
+    FaultHandler,
+    FaultsHandler,
+    FaultState,
+    LimitsHandler,
+)
 from gentianlink.testing.table_state import TableState
 
 STATUS_CONFLICT = 409
@@ -19,8 +24,9 @@
 class RowHandler(FaultHandler):
     """Reads one row."""
 
-    def get(self, key):
+    async def get(self, key):
         """Answer with the row."""
+        await self.wait_in_queue(self.fault_state.reads)
         revision, value = self.state.read(key)
         self.answer({"key": key, "revision": revision, "value": value})
 
@@ -28,11 +34,12 @@
 class RowsHandler(FaultHandler):
     """Scans rows."""
 
-    def get(self):
+    async def get(self):
         """Answer with the rows that have a prefix."""
         prefix = self.get_query_argument("prefix", "")
         after = self.get_query_argument("after", "")
         limit = int(self.get_query_argument("limit", "1000"))
+        await self.wait_in_queue(self.fault_state.reads)
         rows = self.state.scan(prefix, after, limit)
         keys = ("key", "revision", "value")
         self.answer({"rows": [dict(zip(keys, row, strict=True)) for row in rows]})
@@ -41,12 +48,21 @@
 class TransactHandler(FaultHandler):
     """Runs conditional transactions."""
 
-    def post(self):
+    async def post(self):
         """Write all rows, or none."""
         body = orjson.loads(self.request.body)
         checks = [(item["key"], item["revision"]) for item in body["checks"]]
         puts = [(item["key"], item["value"]) for item in body["puts"]]
-        conflict, revision = self.state.transact(checks, puts)
+        deletes = body.get("deletes", [])
+        rows = len(puts) + len(deletes)
+        units = max(1, rows) if self.fault_state.limits.count_rows else 1
+        await self.wait_in_queue(self.fault_state.writes, units)
+        late_ms = self.fault_state.faults.land_late_ms
+        if late_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_ms / 1000, self.state.transact, checks, puts, deletes)
+            self.lose_answer()
+        conflict, revision = self.state.transact(checks, puts, deletes)
         if conflict is not None:
             answer = {"key": conflict[0], "revision": conflict[1]}
             self.answer(answer, STATUS_CONFLICT)
@@ -103,6 +119,7 @@
             ("/objects/(.+)", ObjectHandler, objects),
             ("/counts", CountsHandler, faultless),
             ("/faults/table", FaultsHandler, {"fault_state": table["fault_state"]}),
+            ("/limits/table", LimitsHandler, {"fault_state": table["fault_state"]}),
             ("/faults/objects", FaultsHandler, {"fault_state": objects["fault_state"]}),
         ],
         log_function=lambda handler: None,
--- a/packages/testing/src/gentianlink/testing/table_state.py
+++ b/packages/testing/src/gentianlink/testing/table_state.py
@@ -31,7 +31,7 @@
             rows.append((key, *self._rows[key]))
         return rows
 
-    def transact(self, checks, puts):
+    def transact(self, checks, puts, deletes=()):
         """Write all rows, or none if a check fails.
 
         Parameters
@@ -40,6 +40,8 @@
             Keys and the revisions that they must have.
         puts : list of tuple
             Keys and values.
+        deletes : sequence of str, optional
+            Keys of rows to remove.
 
         Returns
         -------
@@ -58,4 +60,7 @@
             if key not in self._rows:
                 bisect.insort(self._keys, key)
             self._rows[key] = (self._revision, value)
+        for key in deletes:
+            if self._rows.pop(key, None) is not None:
+                self._keys.remove(key)
         return None, self._revision
