--- a/packages/core/src/gentianlink/core/reason.py
+++ b/packages/core/src/gentianlink/core/reason.py
@@ -6,6 +6,7 @@
 class Reason(enum.Enum):
     """Why a call was refused or has an unknown outcome."""
 
+    BAD_REQUEST = "bad-request"
     NO_ROUTE = "no-route"
     NO_TARGET = "no-target"
     BAD_DEADLINE = "bad-deadline"
@@ -25,3 +26,6 @@
     TARGET_LOST = "target-lost"
     TARGET_SILENT = "target-silent"
     WRONG_NODE = "wrong-node"
+    TARGET_SHED = "target-shed"
+    BAD_ANSWER = "bad-answer"
+    CONNECTION_LIMIT = "connection-limit"
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -65,8 +65,19 @@
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
         claims = ClaimStore(self._platform_table, own_record)
-        dispatcher = Dispatcher(self._local_targets, self._pool, claims)
-        router = Router(own_record, dispatcher, self._pool, LoadView())
+        dispatcher = Dispatcher(
+            self._local_targets,
+            self._pool,
+            claims,
+            settings.calls.silence_timeout_ms,
+        )
+        router = Router(
+            own_record,
+            dispatcher,
+            self._pool,
+            LoadView(),
+            settings.calls.silence_timeout_ms,
+        )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
         self._metrics = NodeMetrics()
 
@@ -168,6 +179,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        self._calls.close()
         for task in self._tasks:
             task.cancel()
         self._topology.close()
@@ -197,7 +209,10 @@
 
     async def _run_expiry(self):
         while True:
-            self._local_targets.expire(get_monotonic_ms())
+            now_ms = get_monotonic_ms()
+            self._local_targets.expire(now_ms)
+            self._pool.sweep(now_ms)
+            self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
     async def _publish_own_row(self):
--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -4,17 +4,24 @@
 
 from gentianlink.core import headers as names
 from gentianlink.core.outcome import Outcome
+from gentianlink.core.reason import Reason
+from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_writer import copy_headers, mark_done
+from gentianlink.node.proxy.errors import CallerGone
+from gentianlink.node.proxy.refusal import Refusal
 
 FIRST_FINAL_STATUS = 200
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATUSES_OF_SHEDDING = frozenset((429, 503))
+MAX_RETRY_AFTER_MS = 600_000
 
 
 class AnswerRelay(HTTPMessageDelegate):
     """Reads an answer and writes it to the caller with back-pressure.
 
     The headers wait for the first part of the body, so that a small answer is one
-    write. An answer by which another node says that the call was not run is kept
-    back: the caller of :meth:`relay` decides whether to try another target.
+    write. A refusal by another node, and a target's statement that it did not run
+    the call, are kept back: the caller decides whether to try another target.
 
     Parameters
     ----------
@@ -22,27 +29,67 @@
         The caller's side.
     version : int
         Catalogue version in force.
+    is_head : bool, optional
+        Whether the call has the method HEAD, so that no body follows.
+    read_refusal : callable, optional
+        Takes status and headers, and returns the Refusal that an answer is, or None.
+    get_free_slots : callable, optional
+        Returns the free slots to report with the answer.
     """
 
-    def __init__(self, writer, version):
+    def __init__(
+        self, writer, version, is_head=False, read_refusal=None, get_free_slots=None
+    ):
         self._writer = writer
         self._version = version
+        self._is_head = is_head
+        self._read_refusal = read_refusal or read_target_refusal
+        self._get_free_slots = get_free_slots
         self._status = 0
         self._headers = None
+        self._refusal = None
         self._is_finished = False
+        self._is_bad = False
+        self._is_abandoned = False
+        self._is_writing = False
+        self._on_finish = None
+        self._free_slots = None
         self.progress_ms = 0.0
 
+    @property
+    def is_begun(self):
+        """Whether a part of the answer arrived."""
+        return self._headers is not None
+
     @property
     def is_finished(self):
         """Whether the whole answer arrived."""
         return self._is_finished
 
     @property
-    def is_not_run(self):
-        """Whether another node answered that the call was not run."""
-        if self._headers is None:
-            return False
-        return self._headers.get(names.OUTCOME) == Outcome.NOT_RUN.value
+    def is_bad(self):
+        """Whether the end of the answer can't be told from a cut."""
+        return self._is_bad
+
+    @property
+    def is_abandoned(self):
+        """Whether the caller closed its connection, so that nobody reads on."""
+        return self._is_abandoned
+
+    @property
+    def is_writing(self):
+        """Whether the caller has yet to take a part of the answer."""
+        return self._is_writing
+
+    @property
+    def refusal(self):
+        """Refusal in place of an answer, None if the target ran the call."""
+        return self._refusal
+
+    @property
+    def free_slots(self):
+        """Free slots that the other end reported; None if it did not."""
+        return self._free_slots
 
     @property
     def status(self):
@@ -54,30 +101,137 @@
         """Headers of the answer."""
         return self._headers
 
+    def set_finish_callback(self, callback):
+        """Set what is called when the whole answer arrived."""
+        self._on_finish = callback
+
     def headers_received(self, start_line, headers):
         """Take the status line and the headers."""
+        self.progress_ms = get_monotonic_ms()
         if start_line.code < FIRST_FINAL_STATUS:
             return
         self._status = start_line.code
+        self._is_bad = not self._has_known_end(headers)
         self._headers = copy_headers(headers)
+        self._refusal = self._read_refusal(start_line.code, headers)
+        self._free_slots = read_number(headers, names.FREE_SLOTS)
+
+    def _has_known_end(self, headers):
+        if self._is_head or self._status in STATUSES_WITHOUT_BODY:
+            return True
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
 
     async def data_received(self, chunk):
         """Relay a part of the body and wait until the caller has taken it."""
-        if self.is_not_run:
+        self.progress_ms = get_monotonic_ms()
+        if self._refusal is not None or self._is_bad or self._is_abandoned:
             return
+        self._is_writing = True
+        try:
+            await self.deliver(chunk)
+        except CallerGone:
+            self._is_abandoned = True
+        finally:
+            self._is_writing = False
+            self.progress_ms = get_monotonic_ms()
+
+    async def deliver(self, chunk):
+        """Write a part of the body to the caller.
+
+        Parameters
+        ----------
+        chunk : bytes
+            Part of the body.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection.
+        """
         if self._writer.is_started:
             await self._writer.write(chunk)
             return
-        mark_done(self._headers, self._version)
+        self._mark_done()
         await self._writer.start(self._status, self._headers, chunk)
 
     def finish(self):
         """Note that the whole answer arrived."""
         self._is_finished = True
+        if self._on_finish is not None:
+            self._on_finish()
 
     async def end(self):
         """End the caller's answer after the whole answer arrived."""
         if not self._writer.is_started:
-            mark_done(self._headers, self._version)
+            self._mark_done()
             await self._writer.start(self._status, self._headers)
         self._writer.finish()
+
+    def _mark_done(self):
+        free_slots = None
+        if self._get_free_slots is not None:
+            free_slots = self._get_free_slots()
+        mark_done(self._headers, self._version, free_slots)
+
+
+def read_number(headers, name):
+    """Return a header's whole number, None if it is missing or bad."""
+    value = headers.get(name, "")
+    if not (value.isascii() and value.isdigit()):
+        return None
+    return int(value[:9])
+
+
+def read_node_refusal(status, headers):
+    """Return the refusal in an answer of another node.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    headers : HTTPHeaders
+        Headers of the answer.
+
+    Returns
+    -------
+    Refusal or None
+        None if the call was done.
+    """
+    try:
+        outcome = Outcome(headers.get(names.OUTCOME))
+        if outcome is Outcome.DONE and names.REASON not in headers:
+            return None
+        reason = Reason(headers.get(names.REASON))
+    except ValueError:
+        return Refusal(Reason.BAD_ANSWER, Outcome.UNKNOWN)
+    retry_after_ms = read_number(headers, names.RETRY_AFTER_MS) or 0
+    attempts = read_number(headers, names.ATTEMPT) or 1
+    return Refusal(reason, outcome, retry_after_ms, attempts)
+
+
+def read_target_refusal(status, headers):
+    """Return the refusal in an answer of a target.
+
+    A target may say that it did not run a call, with a status of shedding and the
+    outcome header. Any other answer is its own, whatever the status.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    headers : HTTPHeaders
+        Headers of the answer.
+
+    Returns
+    -------
+    Refusal or None
+        None if the target ran the call.
+    """
+    if status not in STATUSES_OF_SHEDDING:
+        return None
+    if headers.get(names.OUTCOME) != Outcome.NOT_RUN.value:
+        return None
+    retry_after_ms = read_number(headers, names.RETRY_AFTER_MS) or 0
+    retry_after_ms = min(retry_after_ms, MAX_RETRY_AFTER_MS)
+    attempts = read_number(headers, names.ATTEMPT) or 1
+    return Refusal(Reason.TARGET_SHED, Outcome.NOT_RUN, retry_after_ms, attempts)
--- a/packages/node/src/gentianlink/node/proxy/answer_writer.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_writer.py
@@ -33,10 +33,13 @@
     ----------
     connection : HTTP1Connection
         Connection of the caller.
+    is_head : bool, optional
+        Whether the caller wants no body.
     """
 
-    def __init__(self, connection: HTTP1Connection):
+    def __init__(self, connection: HTTP1Connection, is_head=False):
         self._connection = connection
+        self._is_head = is_head
         self._is_started = False
 
     @property
@@ -102,19 +105,44 @@
         refusal : Refusal
             What to tell the caller.
         """
-        headers = HTTPHeaders()
-        headers[names.OUTCOME] = refusal.outcome.value
-        headers[names.REASON] = refusal.reason.value
-        headers["Content-Type"] = "text/plain"
-        if refusal.retry_after_ms:
-            headers[names.RETRY_AFTER_MS] = str(refusal.retry_after_ms)
-            headers["Retry-After"] = str(math.ceil(refusal.retry_after_ms / MS_PER_S))
-        body = f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
+        headers = make_refusal_headers(refusal)
+        body = make_refusal_body(refusal)
         headers["Content-Length"] = str(len(body))
+        if self._is_head:
+            body = b""
         await self.start(refusal.status, headers, body)
         self.finish()
 
 
+def make_refusal_headers(refusal):
+    """Return the headers of a refusal but for its length.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        What to tell the caller.
+
+    Returns
+    -------
+    HTTPHeaders
+        The headers.
+    """
+    headers = HTTPHeaders()
+    headers[names.OUTCOME] = refusal.outcome.value
+    headers[names.REASON] = refusal.reason.value
+    headers[names.ATTEMPT] = str(refusal.attempts)
+    headers["Content-Type"] = "text/plain"
+    if refusal.retry_after_ms:
+        headers[names.RETRY_AFTER_MS] = str(refusal.retry_after_ms)
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_ms / MS_PER_S))
+    return headers
+
+
+def make_refusal_body(refusal):
+    """Return the body of a refusal."""
+    return f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
+
+
 def copy_headers(headers):
     """Return the end-to-end headers of a message.
 
@@ -137,7 +165,7 @@
     return copied
 
 
-def mark_done(headers, version):
+def mark_done(headers, version, free_slots=None):
     """Say in the headers of a target's answer that the call was done.
 
     Parameters
@@ -146,7 +174,12 @@
         Headers of the answer; changed in place.
     version : int
         Catalogue version in force.
+    free_slots : int, optional
+        Free slots of the target, for the node that sent the call.
     """
-    if names.OUTCOME not in headers:
-        headers[names.OUTCOME] = Outcome.DONE.value
+    headers[names.OUTCOME] = Outcome.DONE.value
     headers[names.VERSION] = str(version)
+    for name in (names.REASON, names.RETRY_AFTER_MS, names.FREE_SLOTS):
+        headers.pop(name, None)
+    if free_slots is not None:
+        headers[names.FREE_SLOTS] = str(free_slots)
--- a/packages/node/src/gentianlink/node/proxy/call.py
+++ b/packages/node/src/gentianlink/node/proxy/call.py
@@ -3,10 +3,12 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
+from gentianlink.node.proxy.request_body import RequestBody
+
 
 @attrs.frozen
 class Call:
-    """A call that was read whole.
+    """A call, read whole unless its body is streamed.
 
     Attributes
     ----------
@@ -17,13 +19,17 @@
     headers : HTTPHeaders
         Headers of the caller.
     body : bytes
-        Body of the call.
+        Body of the call, if it was read whole.
     deadline_ms : float
         Deadline on the monotonic clock in milliseconds.
     key : str
         Idempotency key; empty if there is none.
     attempt : int
         Number of the attempt, from 1.
+    caller : str
+        Name of the caller for fair shares.
+    stream : RequestBody or None
+        Body that is forwarded while it arrives; ``body`` is then empty.
     """
 
     method: str
@@ -33,6 +39,13 @@
     deadline_ms: float
     key: str = ""
     attempt: int = 1
+    caller: str = ""
+    stream: RequestBody | None = None
+
+    @property
+    def is_replayable(self):
+        """Whether the call can be sent again from its beginning."""
+        return self.stream is None or self.stream.is_replayable
 
     @property
     def path(self):
--- a/packages/node/src/gentianlink/node/proxy/call_parser.py
+++ b/packages/node/src/gentianlink/node/proxy/call_parser.py
@@ -9,6 +9,9 @@
 from gentianlink.ops.validate_catalogue import MAX_DEADLINE_MS
 
 MAX_KEY_LENGTH = 128
+MAX_CALLER_LENGTH = 64
+MAX_ATTEMPT = 99
+REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
 _KEY_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:")
 
 
@@ -60,3 +63,73 @@
     if len(key) > MAX_KEY_LENGTH or not _KEY_CHARACTERS.issuperset(key):
         return Refusal(Reason.BAD_KEY)
     return None
+
+
+def parse_attempt(headers):
+    """Return the number of the attempt that a caller names.
+
+    A bad number counts as a later attempt, so that it can't cause more retries.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers of the call.
+
+    Returns
+    -------
+    int
+        Number of the attempt, from 1.
+    """
+    value = headers.get(names.ATTEMPT)
+    if value is None:
+        return 1
+    if not (value.isascii() and value.isdigit()):
+        return MAX_ATTEMPT
+    return min(MAX_ATTEMPT, max(1, int(value[:4])))
+
+
+def parse_caller(headers, remote_address):
+    """Return the name of the caller for fair shares.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers of the call.
+    remote_address : str
+        IP number of the caller.
+
+    Returns
+    -------
+    str
+        The name that the caller gives itself, else its IP number.
+    """
+    name = headers.get(names.CALLER, "")
+    if 0 < len(name) <= MAX_CALLER_LENGTH and name.isascii() and name.isprintable():
+        return name
+    return remote_address
+
+
+def validate_request(start_line, headers):
+    """Return why a request is refused before its route is looked up.
+
+    Parameters
+    ----------
+    start_line : RequestStartLine
+        Method, target and version.
+    headers : HTTPHeaders
+        Headers of the call.
+
+    Returns
+    -------
+    Refusal or None
+        None if the request can be handled.
+    """
+    if start_line.version != "HTTP/1.1":
+        return Refusal(Reason.BAD_REQUEST)
+    if start_line.method in REFUSED_METHODS:
+        return Refusal(Reason.BAD_REQUEST)
+    if not start_line.path.startswith("/"):
+        return Refusal(Reason.BAD_REQUEST)
+    if len(headers.get_list("Host")) != 1:
+        return Refusal(Reason.BAD_REQUEST)
+    return None
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -0,0 +1,154 @@
+"""Read one request of a caller; small ones whole, large ones as a stream."""
+
+from tornado.httputil import HTTPMessageDelegate
+
+from gentianlink.core import headers as names
+from gentianlink.core.reason import Reason
+from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.proxy.answer_relay import read_number
+from gentianlink.node.proxy.call import Call
+from gentianlink.node.proxy.call_parser import parse_attempt, parse_caller
+from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.request_body import RequestBody
+
+BUFFER_BYTES = 64 * 1024
+METHODS_WITH_CHUNKED_BODY = ("POST", "PUT", "PATCH")
+
+
+class CallReader(HTTPMessageDelegate):
+    """Reads one request; a task of its own then answers it.
+
+    Parameters
+    ----------
+    server : CallServer
+        Answers the request.
+    connection : CallConnection
+        Connection of the caller.
+    remote_address : str
+        IP number of the caller.
+    """
+
+    def __init__(self, server, connection, remote_address):
+        self._server = server
+        self._remote_address = remote_address
+        self._chunks = []
+        self._stream = None
+        self._task = None
+        self._started_ms = 0.0
+        self._received_bytes = 0
+        self._buffer_bytes = BUFFER_BYTES
+        self._max_bytes = BUFFER_BYTES
+        self.connection = connection
+        self.start_line = None
+        self.headers = None
+        self.refusal = None
+
+    @property
+    def path(self):
+        """Path without the query."""
+        return self.start_line.path.partition("?")[0]
+
+    @property
+    def body_bytes(self):
+        """Size of the body as far as it is known."""
+        declared = read_number(self.headers, "Content-Length") or 0
+        return max(declared, self._received_bytes)
+
+    def headers_received(self, start_line, headers):
+        """Take the headers; refuse at once if the body would be read in vain."""
+        self.start_line = start_line
+        self.headers = headers
+        self._started_ms = get_monotonic_ms()
+        if "Content-Length" not in headers and "Transfer-Encoding" not in headers:
+            return None
+        refusal = self._server.check(self)
+        is_large = self.body_bytes > BUFFER_BYTES
+        if refusal is not None and (is_large or "Expect" in headers):
+            self.refusal = refusal
+            self._start()
+        return self._task
+
+    def set_body_limits(self, is_buffered, max_bytes):
+        """Set how much of the body is taken.
+
+        Parameters
+        ----------
+        is_buffered : bool
+            Whether the body is read whole before the call is handled.
+        max_bytes : int
+            Largest body in bytes.
+        """
+        self._max_bytes = max_bytes
+        self._buffer_bytes = max_bytes if is_buffered else BUFFER_BYTES
+
+    def data_received(self, chunk):
+        """Take a part of the body; wait while too much of it is waiting."""
+        self._received_bytes += len(chunk)
+        if self._stream is not None:
+            return self._put(chunk)
+        if self._task is not None:
+            return None
+        self._chunks.append(chunk)
+        if self._received_bytes > self._max_bytes:
+            self.refusal = Refusal(Reason.BODY_TOO_LARGE)
+            self._start()
+        elif self._received_bytes > self._buffer_bytes:
+            self._start_stream()
+        return None
+
+    def _put(self, chunk):
+        if self._received_bytes <= self._max_bytes:
+            return self._stream.put(chunk)
+        self._stream.fail()
+        return None
+
+    def _start_stream(self):
+        is_sized = "Content-Length" in self.headers
+        if not is_sized and self.start_line.method not in METHODS_WITH_CHUNKED_BODY:
+            self.refusal = Refusal(Reason.BAD_REQUEST)
+        self._stream = RequestBody(b"".join(self._chunks))
+        self._chunks.clear()
+        self._start()
+
+    def finish(self):
+        """Handle the request, which was read whole."""
+        if self._stream is not None:
+            self._stream.end()
+        if self._task is None:
+            self._start()
+        self.connection.set_close_callback(self.on_connection_close)
+
+    def _start(self):
+        self._task = self._server.start_call(self)
+
+    def on_connection_close(self):
+        """Cancel the call of a caller that has gone."""
+        if self._stream is not None:
+            self._stream.fail()
+        if self._task is not None:
+            self._task.cancel()
+
+    def make_call(self, remaining_ms):
+        """Return the call that was read.
+
+        Parameters
+        ----------
+        remaining_ms : float
+            Time that the caller allows, from the arrival of the headers.
+
+        Returns
+        -------
+        Call
+            The call.
+        """
+        return Call(
+            method=self.start_line.method,
+            target=self.start_line.path,
+            headers=self.headers,
+            body=b"".join(self._chunks),
+            deadline_ms=self._started_ms + remaining_ms,
+            key=self.headers.get(names.IDEMPOTENCY_KEY, ""),
+            attempt=parse_attempt(self.headers),
+            caller=parse_caller(self.headers, self._remote_address),
+            stream=self._stream,
+        )
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/call_stream.py
@@ -0,0 +1,90 @@
+"""A caller's connection; it answers requests that can't be parsed with a refusal."""
+
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from gentianlink.core.reason import Reason
+from gentianlink.node.log import get_logger
+from gentianlink.node.proxy.answer_writer import make_refusal_body, make_refusal_headers
+from gentianlink.node.proxy.refusal import Refusal
+
+_LOG = get_logger("proxy")
+
+STATUS_HEADERS_TOO_LARGE = 431
+LIBRARY_BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+
+
+def make_raw_refusal(status, refusal):
+    """Return the bytes of a refusal that ends a connection.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    refusal : Refusal
+        What to tell the caller.
+
+    Returns
+    -------
+    bytes
+        Status line, headers and body.
+    """
+    body = make_refusal_body(refusal)
+    headers = make_refusal_headers(refusal)
+    headers["Content-Length"] = str(len(body))
+    headers["Connection"] = "close"
+    lines = [f"HTTP/1.1 {status} Refused"]
+    lines += [f"{name}: {value}" for name, value in headers.get_all()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class CallStream(IOStream):
+    """Connection of a caller.
+
+    The library answers a malformed request with a bare status line, and closes the
+    connection without an answer when the headers are too large. This class puts a
+    typed refusal in place of both, unless an answer has begun.
+    """
+
+    def __init__(self, connection, **options):
+        super().__init__(connection, **options)
+        self._is_answering = False
+        self.is_answer_due = False
+
+    def begin_request(self):
+        """Note that the next bytes written begin an answer."""
+        self._is_answering = False
+
+    def write(self, data):
+        """Write bytes, with a typed refusal in place of the library's own."""
+        if data == LIBRARY_BAD_REQUEST:
+            _LOG.info("malformed request refused")
+            if self._is_answering:
+                self.close()
+                raise StreamClosedError
+            data = make_raw_refusal(400, Refusal(Reason.BAD_REQUEST))
+        elif not data.startswith(b"HTTP/1.1 100"):
+            self._is_answering = True
+        return super().write(data)
+
+    def close(self, exc_info=False):
+        """Close the connection, with an answer if the headers were too large."""
+        if isinstance(exc_info, UnsatisfiableReadError) and not self._is_answering:
+            self._refuse_large_headers()
+        super().close(exc_info)
+
+    def _refuse_large_headers(self):
+        _LOG.info("request with large headers refused")
+        answer = make_raw_refusal(STATUS_HEADERS_TOO_LARGE, Refusal(Reason.BAD_REQUEST))
+        try:
+            self.socket.send(answer)
+        except OSError:
+            return
+
+
+class CallConnection(HTTP1Connection):
+    """One request and its answer on a caller's connection."""
+
+    def close_after_answer(self):
+        """Close the connection once the answer has left."""
+        self._disconnect_on_finish = True
--- a/packages/node/src/gentianlink/node/proxy/connection_pool.py
+++ b/packages/node/src/gentianlink/node/proxy/connection_pool.py
@@ -4,36 +4,46 @@
 import collections
 
 from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
-from gentianlink.node.proxy.errors import TargetUnreachable
+from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
+from gentianlink.node.proxy.exchange_stream import ExchangeStream
 
-MAX_BUFFER_BYTES = 1 << 20
+MAX_IDLE_MS = 4000
+MAX_IDLE_NON_REPEATABLE_MS = 1000
+MS_PER_S = 1000
 
 
 class ConnectionPool:
-    """Open connections that wait for their next exchange.
+    """Connections, each used by one exchange at a time.
+
+    A connection returns to the pool only after a whole exchange, and leaves it only
+    if nothing arrived in between. Idle connections are closed before a target with
+    the usual keep-alive time closes them.
 
     Parameters
     ----------
-    max_idle : int
-        Idle connections kept for each address.
+    max_open : int
+        Connections that each address may have, idle ones included.
     connect_timeout_ms : int
         Bound in milliseconds on opening a connection.
     """
 
-    def __init__(self, max_idle, connect_timeout_ms):
-        self._max_idle = max_idle
+    def __init__(self, max_open, connect_timeout_ms):
+        self._max_open = max_open
         self._connect_timeout_ms = connect_timeout_ms
-        self._idle = collections.defaultdict(list)
-        self._client = TCPClient()
+        self._idle = collections.defaultdict(collections.deque)
+        self._open = collections.Counter()
 
     @classmethod
     def from_settings(cls, settings):
         """Return a pool for the ``calls`` section of the settings."""
         return cls(settings.connections, settings.connect_timeout_ms)
 
-    async def acquire(self, address, port):
+    def count_open(self, address, port):
+        """Return the number of connections to an address, idle ones included."""
+        return self._open[address, port]
+
+    async def acquire(self, address, port, now_ms, max_idle_ms=MAX_IDLE_MS):
         """Return an idle connection, or a new one.
 
         Parameters
@@ -42,51 +52,97 @@
             IP number.
         port : int
             TCP port.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        max_idle_ms : float, optional
+            Longest idle time of a connection that may be used again; 0 for a new
+            connection.
 
         Returns
         -------
-        tornado.iostream.IOStream
+        ExchangeStream
             A connection that no other exchange uses.
 
         Raises
         ------
         TargetUnreachable
             If no connection could be opened.
+        ConnectionLimitReached
+            If all connections of the address are in use.
         """
-        idle = self._idle[address, port]
+        key = address, port
+        idle = self._idle[key]
         while idle:
             stream = idle.pop()
-            if not stream.closed():
+            if now_ms - stream.idle_since_ms < max_idle_ms and stream.is_usable:
                 return stream
-        connect = self._client.connect(address, port, max_buffer_size=MAX_BUFFER_BYTES)
+            self._discard(stream)
+        if self._open[key] >= self._max_open:
+            raise ConnectionLimitReached(f"{address}:{port}")
+        return await self._connect(address, port)
+
+    async def _connect(self, address, port):
+        stream = ExchangeStream(address, port)
+        self._open[address, port] += 1
         try:
-            stream = await asyncio.wait_for(connect, self._connect_timeout_ms / 1000)
+            async with asyncio.timeout(self._connect_timeout_ms / MS_PER_S):
+                await stream.connect((address, port))
         except (OSError, StreamClosedError, TimeoutError) as error:
+            self._discard(stream)
             raise TargetUnreachable(f"{address}:{port}") from error
-        stream.set_nodelay(True)
+        except asyncio.CancelledError:
+            self._discard(stream)
+            raise
         return stream
 
-    def release(self, address, port, stream):
-        """Give back a connection after a whole exchange.
+    def release(self, stream, is_reusable, now_ms):
+        """Give back a connection after its exchange.
 
         Parameters
         ----------
-        address : str
-            IP number.
-        port : int
-            TCP port.
-        stream : tornado.iostream.IOStream
+        stream : ExchangeStream
             The connection.
+        is_reusable : bool
+            Whether the exchange was whole in both directions.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
         """
-        idle = self._idle[address, port]
-        if stream.closed() or len(idle) >= self._max_idle:
-            stream.close()
+        if not is_reusable or not stream.is_usable:
+            self._discard(stream)
             return
-        idle.append(stream)
+        stream.exchanges += 1
+        stream.idle_since_ms = now_ms
+        self._idle[stream.address, stream.port].append(stream)
+
+    def sweep(self, now_ms):
+        """Close connections that were idle too long or that the other end closed.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        for key, idle in list(self._idle.items()):
+            kept = collections.deque()
+            for stream in idle:
+                if now_ms - stream.idle_since_ms < MAX_IDLE_MS and stream.is_usable:
+                    kept.append(stream)
+                else:
+                    self._discard(stream)
+            self._idle[key] = kept
+            if not kept:
+                del self._idle[key]
 
     def close(self):
         """Close all idle connections."""
         for idle in self._idle.values():
             for stream in idle:
-                stream.close()
+                self._discard(stream)
         self._idle.clear()
+
+    def _discard(self, stream):
+        stream.close()
+        key = stream.address, stream.port
+        self._open[key] -= 1
+        if not self._open[key]:
+            del self._open[key]
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -1,22 +1,21 @@
 """Execute a call on a local target, behind its gate."""
 
-import asyncio
-
-from tornado.httputil import HTTPHeaders
-
-from gentianlink.core import headers as names
-from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_relay import AnswerRelay
-from gentianlink.node.proxy.answer_writer import copy_headers
-from gentianlink.node.proxy.errors import TargetLost, TargetSilent, TargetUnreachable
-from gentianlink.node.proxy.exchange import run_exchange
+from gentianlink.node.proxy.connection_pool import (
+    MAX_IDLE_MS,
+    MAX_IDLE_NON_REPEATABLE_MS,
+)
+from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
+from gentianlink.node.proxy.exchange_call import exchange_call
 from gentianlink.node.proxy.refusal import Refusal
 
 RETRY_AFTER_MS = 100
+GATE_SILENCE_SHARE = 0.4
+REASONS_FOR_FRESH_CONNECTION = (Reason.TARGET_LOST, Reason.TARGET_SILENT)
 
 
 class Dispatcher:
@@ -30,12 +29,15 @@
         Connections to them.
     claims : ClaimStore
         Claims of idempotency keys.
+    silence_ms : int
+        Longest time in milliseconds without progress of an answer.
     """
 
-    def __init__(self, local_targets, pool, claims):
+    def __init__(self, local_targets, pool, claims, silence_ms):
         self._local_targets = local_targets
         self._pool = pool
         self._claims = claims
+        self._silence_ms = silence_ms
 
     async def dispatch(self, call, entry, target_id, writer, version):
         """Run a call on one target and relay the answer.
@@ -79,11 +81,14 @@
             claim, refusal = await self._claims.claim(entry, call)
             if refusal is not None:
                 return refusal
-        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
-        if remaining_ms <= 0:
-            return Refusal(Reason.DEADLINE_PASSED)
-        relay = AnswerRelay(writer, version)
-        refusal = await self._exchange(call, target, relay, remaining_ms)
+        relay = AnswerRelay(
+            writer,
+            version,
+            is_head=call.method == "HEAD",
+            get_free_slots=lambda: target.gate.free_slots_after_one,
+        )
+        is_repeatable = entry.work_class.is_repeatable
+        refusal = await self._exchange(call, target, relay, is_repeatable)
         if refusal is not None:
             return refusal
         if claim is not None:
@@ -91,56 +96,30 @@
         await relay.end()
         return None
 
-    async def _exchange(self, call, target, relay, remaining_ms):
+    async def _exchange(self, call, target, relay, is_repeatable=False):
+        """Send a call to a target; try a fresh connection if that does no harm."""
+        max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        silence_share = GATE_SILENCE_SHARE if is_repeatable else 1.0
+        refusal = await self._exchange_once(
+            call, target, relay, max_idle_ms, silence_share
+        )
+        if refusal is None or not is_repeatable or relay.is_begun:
+            return refusal
+        if refusal.reason not in REASONS_FOR_FRESH_CONNECTION:
+            return refusal
+        if not call.is_replayable or call.attempt > 1:
+            return refusal
+        return await self._exchange_once(call, target, relay, 0, 1.0)
+
+    async def _exchange_once(self, call, target, relay, max_idle_ms, silence_share):
         try:
-            stream = await self._pool.acquire(target.address, target.port)
+            stream = await self._pool.acquire(
+                target.address, target.port, get_monotonic_ms(), max_idle_ms
+            )
         except TargetUnreachable:
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
-        headers = make_target_headers(call, remaining_ms)
-        try:
-            reusable = await run_exchange(stream, call, headers, relay, remaining_ms)
-        except TargetLost:
-            return Refusal(Reason.TARGET_LOST, Outcome.UNKNOWN)
-        except TargetSilent:
-            return Refusal(Reason.TARGET_SILENT, Outcome.UNKNOWN)
-        if reusable:
-            self._pool.release(target.address, target.port, stream)
-        else:
-            stream.close()
-        return None
-
-
-def make_target_headers(call, remaining_ms):
-    """Return the headers that a target or the node beside it receives.
-
-    Parameters
-    ----------
-    call : Call
-        The call.
-    remaining_ms : float
-        Time until the deadline in milliseconds.
-
-    Returns
-    -------
-    HTTPHeaders
-        End-to-end headers of the caller, with the remaining time.
-    """
-    headers: HTTPHeaders = copy_headers(call.headers)
-    headers[names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
-    headers[names.ATTEMPT] = str(call.attempt)
-    if call.body:
-        headers["Content-Length"] = str(len(call.body))
-    headers.pop("Expect", None)
-    return headers
-
-
-async def cancel_quietly(task):
-    """Cancel a task and wait for its end.
-
-    Parameters
-    ----------
-    task : asyncio.Task
-        The task.
-    """
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
+        except ConnectionLimitReached:
+            return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
+        return await exchange_call(
+            self._pool, stream, call, relay, self._silence_ms, silence_share
+        )
--- a/packages/node/src/gentianlink/node/proxy/errors.py
+++ b/packages/node/src/gentianlink/node/proxy/errors.py
@@ -21,3 +21,15 @@
 
 class CallerGone(ExchangeError):
     """The caller closed its connection."""
+
+
+class ConnectionLimitReached(ExchangeError):
+    """All connections that one address may have are in use; nothing was sent."""
+
+
+class ExchangeDeadlinePassed(ExchangeError):
+    """The deadline passed before the whole answer had arrived."""
+
+
+class BadAnswer(ExchangeError):
+    """The end of the answer can't be told from a cut of the connection."""
--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -6,18 +6,21 @@
 from tornado.httputil import RequestStartLine
 from tornado.iostream import StreamClosedError
 
-from gentianlink.node.proxy.errors import CallerGone, TargetLost, TargetSilent
+from gentianlink.node.background import start_task
+from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.proxy.errors import BadAnswer, CallerGone, TargetLost
+from gentianlink.node.proxy.exchange_timer import ExchangeTimer
 
 MAX_ANSWER_BYTES = 1 << 40
 _PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
 
 
-async def run_exchange(stream, call, headers, relay, timeout_ms):
+async def run_exchange(stream, call, headers, relay, silence_ms):
     """Send a call and relay its answer.
 
     Parameters
     ----------
-    stream : tornado.iostream.IOStream
+    stream : ExchangeStream
         Connection that no other exchange uses.
     call : Call
         The call.
@@ -25,40 +28,88 @@
         Headers to send.
     relay : AnswerRelay
         Takes the answer.
-    timeout_ms : float
-        Bound in milliseconds on the whole exchange.
+    silence_ms : float
+        Longest time in milliseconds without progress of the answer.
 
     Returns
     -------
     bool
-        True if the connection can be used again.
+        True if the exchange was whole in both directions, so that the connection
+        can be used again.
 
     Raises
     ------
     TargetLost
         If the connection closed before the whole answer had arrived.
     TargetSilent
-        If the bound passed.
+        If the answer made no progress for too long.
+    ExchangeDeadlinePassed
+        If the deadline passed.
+    BadAnswer
+        If the end of the answer can't be told from a cut.
     CallerGone
         If the caller closed its connection.
     """
     connection = HTTP1Connection(stream, True, _PARAMETERS)
-    start_line = RequestStartLine(call.method, call.target, "HTTP/1.1")
+    timer = ExchangeTimer(stream, relay, call.deadline_ms, silence_ms)
+    timer.start(get_monotonic_ms())
+    sending = None
     try:
-        connection.write_headers(start_line, headers, call.body or None)
-        connection.finish()
-        reading = connection.read_response(relay)
-        is_open = await asyncio.wait_for(reading, timeout_ms / 1000)
-    except TimeoutError as error:
-        stream.close()
-        raise TargetSilent from error
-    except (StreamClosedError, OSError) as error:
-        stream.close()
-        raise TargetLost from error
-    except (CallerGone, asyncio.CancelledError):
+        sending = _send(connection, call, headers)
+        if sending is not None:
+            relay.set_finish_callback(lambda: sending.done() or stream.close())
+        is_open = await connection.read_response(relay)
+    except (StreamClosedError, OSError, asyncio.CancelledError) as error:
         stream.close()
-        raise
-    if not relay.is_finished:
+        if isinstance(error, asyncio.CancelledError):
+            raise
+        raise _get_failure(timer, relay) from error
+    finally:
+        timer.stop()
+        is_sent = await _end_sending(sending, call)
+    if timer.error or relay.is_bad or relay.is_abandoned or not relay.is_finished:
         stream.close()
-        raise TargetLost
-    return is_open and relay.headers.get("Connection", "").lower() != "close"
+        raise _get_failure(timer, relay)
+    is_kept = relay.headers.get("Connection", "").lower() != "close"
+    return is_open and is_sent and is_kept
+
+
+def _send(connection, call, headers):
+    start_line = RequestStartLine(call.method, call.target, "HTTP/1.1")
+    if call.stream is None:
+        connection.write_headers(start_line, headers, call.body or None)
+        connection.finish()
+        return None
+    connection.write_headers(start_line, headers, call.stream.prefix or None)
+    return start_task(_send_stream(connection, call.stream), "request body")
+
+
+async def _send_stream(connection, body):
+    try:
+        while chunk := await body.read():
+            await connection.write(chunk)
+    except StreamClosedError:
+        connection.close()
+        return
+    connection.finish()
+
+
+async def _end_sending(sending, call):
+    if sending is None:
+        return True
+    is_sent = sending.done()
+    if not is_sent:
+        call.stream.discard()
+        sending.cancel()
+        await asyncio.wait([sending])
+    return is_sent
+
+
+def _get_failure(timer, relay):
+    if relay.is_abandoned:
+        return CallerGone()
+    if timer.error is not None:
+        return timer.error()
+    if relay.is_bad:
+        return BadAnswer()
+    return TargetLost()
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/exchange_stream.py
@@ -0,0 +1,54 @@
+"""A connection that this node opened to a target or to another node."""
+
+import socket
+
+from tornado.iostream import IOStream
+
+MAX_BUFFER_BYTES = 1 << 20
+READ_CHUNK_BYTES = 1 << 16
+
+
+class ExchangeStream(IOStream):
+    """Connection for one exchange at a time.
+
+    Parameters
+    ----------
+    address : str
+        IP number of the other end.
+    port : int
+        TCP port of the other end.
+    """
+
+    def __init__(self, address, port):
+        family = socket.AF_INET6 if ":" in address else socket.AF_INET
+        connection = socket.socket(family, socket.SOCK_STREAM)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(
+            connection,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            read_chunk_size=READ_CHUNK_BYTES,
+        )
+        self.address = address
+        self.port = port
+        self.exchanges = 0
+        self.idle_since_ms = 0.0
+
+    @property
+    def is_usable(self):
+        """Whether the connection is open and no byte waits on it.
+
+        Between two exchanges nothing may arrive: bytes would belong to an answer
+        that nobody asked for, and an end of file shows that the other end closed.
+        """
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def set_nodelay(self, value):
+        """Ignore changes: small writes are never delayed on these connections."""
--- a/packages/node/src/gentianlink/node/proxy/gate.py
+++ b/packages/node/src/gentianlink/node/proxy/gate.py
@@ -30,6 +30,11 @@
         """Slots that a new call could take now."""
         return max(0, self._slots - self._in_flight - len(self._waiting))
 
+    @property
+    def free_slots_after_one(self):
+        """Slots that are free once one call in flight has ended."""
+        return max(0, self._slots - self._in_flight - len(self._waiting) + 1)
+
     @property
     def in_flight(self):
         """Calls that the target executes."""
--- a/packages/node/src/gentianlink/node/proxy/refusal.py
+++ b/packages/node/src/gentianlink/node/proxy/refusal.py
@@ -6,6 +6,7 @@
 from gentianlink.core.reason import Reason
 
 STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
     Reason.NO_ROUTE: 404,
     Reason.BAD_DEADLINE: 400,
     Reason.BAD_KEY: 400,
@@ -17,6 +18,7 @@
     Reason.CONCURRENCY_LIMIT: 429,
     Reason.DEADLINE_PASSED: 504,
     Reason.TARGET_LOST: 502,
+    Reason.BAD_ANSWER: 502,
     Reason.TARGET_SILENT: 504,
 }
 STATUS_UNAVAILABLE = 503
@@ -34,11 +36,14 @@
         Whether the call truly was not run, or this is unknown.
     retry_after_ms : int
         Time after which another try is worth it; 0 if it never is.
+    attempts : int
+        Attempts that were made, also by nodes further down the chain.
     """
 
     reason: Reason
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_ms: int = 0
+    attempts: int = 1
 
     @property
     def status(self):
--- a/packages/node/src/gentianlink/node/proxy/router.py
+++ b/packages/node/src/gentianlink/node/proxy/router.py
@@ -2,18 +2,21 @@
 
 import attrs
 
-from gentianlink.core import headers as names
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.proxy.answer_relay import AnswerRelay
-from gentianlink.node.proxy.dispatcher import make_target_headers
-from gentianlink.node.proxy.errors import TargetLost, TargetSilent, TargetUnreachable
-from gentianlink.node.proxy.exchange import run_exchange
+from gentianlink.node.proxy.answer_relay import AnswerRelay, read_node_refusal
+from gentianlink.node.proxy.connection_pool import (
+    MAX_IDLE_MS,
+    MAX_IDLE_NON_REPEATABLE_MS,
+)
+from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
+from gentianlink.node.proxy.exchange_call import exchange_call
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.ops.choose import choose_endpoint
 
 RETRY_AFTER_MS = 100
+ROUTER_SILENCE_SHARE = 0.7
 
 
 class Router:
@@ -29,13 +32,16 @@
         Connections to other nodes.
     load : LoadView
         How busy endpoints look.
+    silence_ms : int
+        Longest time in milliseconds without progress of an answer.
     """
 
-    def __init__(self, own_record, dispatcher, pool, load):
+    def __init__(self, own_record, dispatcher, pool, load, silence_ms):
         self._own_record = own_record
         self._dispatcher = dispatcher
         self._pool = pool
         self._load = load
+        self._silence_ms = silence_ms
 
     async def route(self, call, route, writer, version):
         """Route a call and relay its answer.
@@ -80,33 +86,40 @@
                 return await self._dispatcher.dispatch(
                     call, route.entry, endpoint.target_id, writer, version
                 )
-            return await self._forward(call, endpoint, writer, version)
+            return await self._forward(call, route, endpoint, writer, version)
         finally:
             self._load.end(endpoint.target_id)
 
-    async def _forward(self, call, endpoint, writer, version):
+    async def _forward(self, call, route, endpoint, writer, version):
+        is_repeatable = route.entry.work_class.is_repeatable
+        max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
         try:
-            stream = await self._pool.acquire(endpoint.address, endpoint.call_port)
+            stream = await self._pool.acquire(
+                endpoint.address, endpoint.call_port, get_monotonic_ms(), max_idle_ms
+            )
         except TargetUnreachable:
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
-        remaining_ms = max(1.0, call.get_remaining_ms(get_monotonic_ms()))
-        headers = make_target_headers(call, remaining_ms)
-        headers[names.TARGET] = endpoint.target_id
-        relay = AnswerRelay(writer, version)
-        try:
-            reusable = await run_exchange(stream, call, headers, relay, remaining_ms)
-        except TargetLost:
-            return Refusal(Reason.TARGET_LOST, Outcome.UNKNOWN)
-        except TargetSilent:
-            return Refusal(Reason.TARGET_SILENT, Outcome.UNKNOWN)
-        if reusable:
-            self._pool.release(endpoint.address, endpoint.call_port, stream)
-        else:
-            stream.close()
-        if relay.is_not_run:
-            return _read_refusal(relay.headers)
-        await relay.end()
-        return None
+        except ConnectionLimitReached:
+            return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
+        relay = AnswerRelay(
+            writer,
+            version,
+            is_head=call.method == "HEAD",
+            read_refusal=read_node_refusal,
+        )
+        silence_share = ROUTER_SILENCE_SHARE if is_repeatable else 1.0
+        refusal = await exchange_call(
+            self._pool,
+            stream,
+            call,
+            relay,
+            self._silence_ms,
+            silence_share,
+            target_id=endpoint.target_id,
+        )
+        if refusal is None:
+            await relay.end()
+        return refusal
 
 
 def _may_retry(route, refusal, writer):
@@ -115,13 +128,3 @@
     if refusal.outcome is Outcome.NOT_RUN:
         return refusal.reason is not Reason.DEADLINE_PASSED
     return refusal.outcome is Outcome.UNKNOWN and route.entry.work_class.is_repeatable
-
-
-def _read_refusal(headers):
-    try:
-        reason = Reason(headers.get(names.REASON, ""))
-    except ValueError:
-        reason = Reason.OVERLOADED
-    retry_after = headers.get(names.RETRY_AFTER_MS, "")
-    retry_after_ms = int(retry_after) if retry_after.isdigit() else 0
-    return Refusal(reason, Outcome.NOT_RUN, retry_after_ms)
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
-from tornado.netutil import bind_sockets
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from gentianlink.core import headers as names
 from gentianlink.core.outcome import Outcome
@@ -13,8 +13,13 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.answer_writer import AnswerWriter
-from gentianlink.node.proxy.call import Call
-from gentianlink.node.proxy.call_parser import parse_deadline_ms, validate_key
+from gentianlink.node.proxy.call_parser import (
+    parse_deadline_ms,
+    validate_key,
+    validate_request,
+)
+from gentianlink.node.proxy.call_reader import CallReader
+from gentianlink.node.proxy.call_stream import CallConnection, CallStream
 from gentianlink.node.proxy.errors import CallerGone
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.ops.build_table import get_route
@@ -22,11 +27,14 @@
 _LOG = get_logger("proxy")
 
 MAX_HEADER_BYTES = 32 * 1024
-MAX_BODY_BYTES = 1 << 30
-HEADER_TIMEOUT_S = 10.0
+MAX_BODY_BYTES = 1 << 40
+READ_CHUNK_BYTES = 1 << 16
+MAX_BUFFER_BYTES = 1 << 20
+MAX_IDLE_MS = 60_000
+NOT_READY_RETRY_MS = 200
 
 
-class CallServer(HTTPServerConnectionDelegate):
+class CallServer:
     """Accepts calls and hands each to the router.
 
     Parameters
@@ -47,8 +55,15 @@
         self._get_table = get_table
         self._is_ready = is_ready
         self._tasks = set()
+        self._streams = {}
         self._outcomes = dict.fromkeys(Outcome, 0)
-        self._server = None
+        self._stop_accepting = []
+        self._is_stopping = False
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            chunk_size=READ_CHUNK_BYTES,
+        )
 
     @property
     def in_flight(self):
@@ -60,62 +75,163 @@
         """Numbers of calls by outcome."""
         return dict(self._outcomes)
 
+    @property
+    def connections(self):
+        """Number of open connections of callers."""
+        return len(self._streams)
+
     def listen(self, address, port):
-        """Start to accept connections."""
-        self._server = HTTPServer(
-            self,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=HEADER_TIMEOUT_S * 6,
+        """Start to accept connections.
+
+        Parameters
+        ----------
+        address : str
+            IP number.
+        port : int
+            TCP port; 0 for any.
+
+        Returns
+        -------
+        int
+            The TCP port.
+        """
+        sockets = bind_sockets(port, address)
+        for item in sockets:
+            self._stop_accepting.append(add_accept_handler(item, self._accept))
+            self._stop_accepting.append(item.close)
+        return sockets[0].getsockname()[1]
+
+    def _accept(self, connection, address):
+        stream = CallStream(
+            connection,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            read_chunk_size=READ_CHUNK_BYTES,
         )
-        self._server.add_sockets(bind_sockets(port, address))
+        start_task(self._serve_connection(stream, address[0]), "connection")
+
+    async def _serve_connection(self, stream, remote_address):
+        stream.set_nodelay(True)
+        self._streams[stream] = get_monotonic_ms()
+        try:
+            while await self._serve_request(stream, remote_address):
+                self._streams[stream] = get_monotonic_ms()
+                await asyncio.sleep(0)
+        except (StreamClosedError, UnsatisfiableReadError, ConnectionError):
+            return
+        finally:
+            stream.close()
+            del self._streams[stream]
+
+    async def _serve_request(self, stream, remote_address):
+        stream.begin_request()
+        connection = CallConnection(stream, False, self._parameters)
+        reader = CallReader(self, connection, remote_address)
+        return await connection.read_response(reader)
 
-    def start_request(self, server_conn, request_conn):
-        """Return the reader of one call."""
-        return _CallReader(self, request_conn)
+    def sweep(self, now_ms):
+        """Close connections on which no request was completed for too long.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        for stream, active_ms in list(self._streams.items()):
+            if now_ms - active_ms >= MAX_IDLE_MS and not stream.is_answer_due:
+                stream.close()
 
     def start_call(self, reader):
-        """Handle a call that was read whole, in a task of its own."""
+        """Handle a call in a task of its own.
+
+        Parameters
+        ----------
+        reader : CallReader
+            Reads the call.
+
+        Returns
+        -------
+        asyncio.Task
+            The task.
+        """
+        reader.connection.stream.is_answer_due = True
         task = start_task(self._handle(reader), "call")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
     async def _handle(self, reader):
-        writer = AnswerWriter(reader.connection)
+        writer = AnswerWriter(reader.connection, reader.start_line.method == "HEAD")
         try:
             refusal = await self._serve(reader, writer)
-            await self._finish(refusal, writer)
+            await self._finish(reader, refusal, writer)
         except CallerGone:
-            _LOG.debug("caller gone", path=reader.start_line.path)
+            _LOG.debug("caller gone", path=reader.path)
+        except asyncio.CancelledError:
+            _LOG.debug("call cancelled", path=reader.path)
+            raise
+        except BaseException:
+            writer.cut()
+            raise
+        finally:
+            reader.connection.stream.is_answer_due = False
 
-    async def _finish(self, refusal, writer):
+    async def _finish(self, reader, refusal, writer):
         if refusal is None:
             self._outcomes[Outcome.DONE] += 1
             return
         self._outcomes[refusal.outcome] += 1
+        _LOG.debug(
+            "call refused",
+            path=reader.path,
+            why=refusal.reason.value,
+            outcome=refusal.outcome.value,
+        )
         if writer.is_started:
             writer.cut()
             return
+        if self._is_stopping:
+            reader.connection.close_after_answer()
         await writer.refuse(refusal)
 
-    async def _serve(self, reader, writer):
+    def check(self, reader):
+        """Return why a call is refused before any work is done for it.
+
+        Parameters
+        ----------
+        reader : CallReader
+            Has read the headers of the call.
+
+        Returns
+        -------
+        Refusal or None
+            None if the call may go on.
+        """
+        refusal = validate_request(reader.start_line, reader.headers)
+        if refusal is not None:
+            return refusal
         if not self._is_ready():
-            return Refusal(Reason.NOT_READY, retry_after_ms=200)
-        table = self._get_table()
-        route = get_route(table, reader.start_line.path.partition("?")[0])
+            return Refusal(Reason.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS)
+        route = get_route(self._get_table(), reader.path)
         if route is None:
             return Refusal(Reason.NO_ROUTE)
-        limits = route.entry.limits
-        if reader.body_size > limits.body_max_bytes:
+        entry = route.entry
+        max_bytes = entry.limits.body_max_bytes
+        reader.set_body_limits(not entry.work_class.is_repeatable, max_bytes)
+        if reader.body_bytes > max_bytes:
             return Refusal(Reason.BODY_TOO_LARGE)
-        remaining_ms = parse_deadline_ms(reader.headers, limits.deadline_ms)
-        if remaining_ms is None:
+        if parse_deadline_ms(reader.headers, entry.limits.deadline_ms) is None:
             return Refusal(Reason.BAD_DEADLINE)
-        call = reader.make_call(remaining_ms)
-        refusal = validate_key(call.key, route.entry.work_class)
+        key = reader.headers.get(names.IDEMPOTENCY_KEY, "")
+        return validate_key(key, entry.work_class)
+
+    async def _serve(self, reader, writer):
+        refusal = reader.refusal or self.check(reader)
         if refusal is not None:
             return refusal
+        table = self._get_table()
+        route = get_route(table, reader.path)
+        remaining_ms = parse_deadline_ms(reader.headers, route.entry.limits.deadline_ms)
+        call = reader.make_call(remaining_ms)
         target_id = reader.headers.get(names.TARGET)
         if target_id is not None:
             return await self._dispatcher.dispatch(
@@ -125,52 +241,17 @@
 
     def stop_listening(self):
         """Accept no further connections."""
-        if self._server is not None:
-            self._server.stop()
+        self._is_stopping = True
+        for stop in self._stop_accepting:
+            stop()
+        self._stop_accepting.clear()
 
     async def wait_idle(self):
         """Wait until no call is in flight."""
         while self._tasks:
             await asyncio.wait(set(self._tasks))
 
-
-class _CallReader(HTTPMessageDelegate):
-    """Reads one call; a task of its own then answers it."""
-
-    def __init__(self, server, connection):
-        self._server = server
-        self._chunks = []
-        self._task = None
-        self._started_ms = 0.0
-        self.connection = connection
-        self.start_line = None
-        self.headers = None
-        self.body_size = 0
-
-    def headers_received(self, start_line, headers):
-        self.start_line = start_line
-        self.headers = headers
-        self._started_ms = get_monotonic_ms()
-
-    def data_received(self, chunk):
-        self.body_size += len(chunk)
-        self._chunks.append(chunk)
-
-    def finish(self):
-        self._task = self._server.start_call(self)
-        self.connection.set_close_callback(self.on_connection_close)
-
-    def on_connection_close(self):
-        if self._task is not None:
-            self._task.cancel()
-
-    def make_call(self, remaining_ms):
-        """Return the call that was read."""
-        return Call(
-            method=self.start_line.method,
-            target=self.start_line.path,
-            headers=self.headers,
-            body=b"".join(self._chunks),
-            deadline_ms=self._started_ms + remaining_ms,
-            key=self.headers.get(names.IDEMPOTENCY_KEY, ""),
-        )
+    def close(self):
+        """Close all connections of callers."""
+        for stream in list(self._streams):
+            stream.close()
