--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -9,6 +9,8 @@
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
+from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.liveness import make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
@@ -18,7 +20,6 @@
 from gentianlink.node.mesh.topology import Topology
 from gentianlink.node.metrics import NodeMetrics
 from gentianlink.node.node_status import NodeStatus
-from gentianlink.node.proxy.claim_store import ClaimStore
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.node.proxy.dispatcher import Dispatcher
 from gentianlink.node.proxy.load_view import LoadView
@@ -64,11 +65,16 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        claims = ClaimStore(self._platform_table, own_record)
+        self._claims = AtMostOnce.from_settings(
+            settings.claims,
+            own_record,
+            self._platform_table,
+            make_is_live(self._membership),
+        )
         dispatcher = Dispatcher(
             self._local_targets,
             self._pool,
-            claims,
+            self._claims,
             settings.calls.silence_timeout_ms,
         )
         router = Router(
@@ -180,6 +186,7 @@
         self._calls.stop_listening()
         await self._calls.wait_idle()
         self._calls.close()
+        await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
         self._topology.close()
--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -86,6 +86,11 @@
         """Refusal in place of an answer, None if the target ran the call."""
         return self._refusal
 
+    @property
+    def is_not_run(self):
+        """Whether the other end says that the call was not run."""
+        return self._refusal is not None and self._refusal.outcome is Outcome.NOT_RUN
+
     @property
     def free_slots(self):
         """Free slots that the other end reported; None if it did not."""
--- a/packages/node/src/gentianlink/node/proxy/conftest.py
+++ b/packages/node/src/gentianlink/node/proxy/conftest.py
@@ -12,6 +12,7 @@
 from gentianlink.core.routing_table import Route, RoutingTable
 from gentianlink.core.target_state import TargetState
 from gentianlink.core.work_class import WorkClass
+from gentianlink.node.proxy.answer_relay import AnswerRelay
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.node.proxy.dispatcher import Dispatcher
 from gentianlink.node.proxy.gate import Gate
@@ -25,10 +26,19 @@
 
 
 class FakeClaims:
-    """Grants every claim."""
+    """Grants every claim and records nothing."""
 
-    async def claim(self, entry, call):
-        return None, None
+    def make_relay(self, writer, version):
+        return AnswerRelay(writer, version)
+
+    async def run_to_end(self, work):
+        return await work
+
+    async def execute(self, call, relay, run):
+        refusal = await run()
+        if refusal is None:
+            await relay.end()
+        return refusal
 
 
 class FakeLocalTargets:
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -1,5 +1,7 @@
 """Execute a call on a local target, behind its gate."""
 
+import functools
+
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.core.work_class import WorkClass
@@ -27,8 +29,8 @@
         Targets beside this node.
     pool : ConnectionPool
         Connections to them.
-    claims : ClaimStore
-        Claims of idempotency keys.
+    claims : AtMostOnce
+        Executes the work of an idempotency key at most once.
     silence_ms : int
         Longest time in milliseconds without progress of an answer.
     """
@@ -69,6 +71,12 @@
         refusal = await target.gate.enter(entry.limits.queue, remaining_ms)
         if refusal is not None:
             return refusal
+        work = self._run_in_slot(call, entry, target, writer, version)
+        if entry.work_class is WorkClass.AT_MOST_ONCE:
+            return await self._claims.run_to_end(work)
+        return await work
+
+    async def _run_in_slot(self, call, entry, target, writer, version):
         started_ms = get_monotonic_ms()
         try:
             return await self._run(call, entry, target, writer, version)
@@ -76,25 +84,20 @@
             target.gate.leave(get_monotonic_ms() - started_ms)
 
     async def _run(self, call, entry, target, writer, version):
-        claim = None
         if entry.work_class is WorkClass.AT_MOST_ONCE:
-            claim, refusal = await self._claims.claim(entry, call)
-            if refusal is not None:
-                return refusal
+            relay = self._claims.make_relay(writer, version)
+            run = functools.partial(self._exchange, call, target, relay)
+            return await self._claims.execute(call, relay, run)
         relay = AnswerRelay(
             writer,
             version,
             is_head=call.method == "HEAD",
             get_free_slots=lambda: target.gate.free_slots_after_one,
         )
-        is_repeatable = entry.work_class.is_repeatable
-        refusal = await self._exchange(call, target, relay, is_repeatable)
-        if refusal is not None:
-            return refusal
-        if claim is not None:
-            await self._claims.record_done(claim, relay.status, b"")
-        await relay.end()
-        return None
+        refusal = await self._exchange(call, target, relay, is_repeatable=True)
+        if refusal is None:
+            await relay.end()
+        return refusal
 
     async def _exchange(self, call, target, relay, is_repeatable=False):
         """Send a call to a target; try a fresh connection if that does no harm."""
