Gate targets by backlog, share limits fairly, and retry within a budget

Cause: the queue held calls whose deadline could not be met, one caller could fill it, the rate and concurrency of an entry were not enforced, retries had no budget, and a call that may have run in a first attempt could be called not run after a second.

Change: a call waits only if the backlog lets it end before its deadline, and is refused at once with the time of the backlog otherwise; a full queue is shared between owners and callers; limits of an entry are divided by max-min fair shares; free slots travel with answers into the choice; the local target comes first, then the own data centre while it has a free slot; cold targets count for less. Retries take from a budget (a tenth of the calls), need the time of a usual answer, and happen in one layer.

Ruled out: counting a retry over a fresh connection as free after silence (a slow target would get its load twice); trusting a later refusal over an earlier unknown outcome.

--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -12,6 +12,7 @@
 from gentianlink.node.claims.at_most_once import AtMostOnce
 from gentianlink.node.claims.liveness import make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
@@ -82,6 +83,7 @@
             dispatcher,
             self._pool,
             LoadView(),
+            EndpointHealth(),
             settings.calls.silence_timeout_ms,
         )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
--- a/packages/node/src/gentianlink/node/proxy/conftest.py
+++ b/packages/node/src/gentianlink/node/proxy/conftest.py
@@ -12,6 +12,7 @@
 from gentianlink.core.routing_table import Route, RoutingTable
 from gentianlink.core.target_state import TargetState
 from gentianlink.core.work_class import WorkClass
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.proxy.answer_relay import AnswerRelay
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.node.proxy.dispatcher import Dispatcher
@@ -106,7 +107,9 @@
         pool = ConnectionPool(130, 500)
         local_targets = FakeLocalTargets()
         dispatcher = Dispatcher(local_targets, pool, FakeClaims(), silence_ms)
-        router = Router(record, dispatcher, pool, LoadView(), silence_ms)
+        router = Router(
+            record, dispatcher, pool, LoadView(), EndpointHealth(), silence_ms
+        )
         server = CallServer(
             router, dispatcher, lambda: self.table, lambda: self.is_ready
         )
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -13,11 +13,12 @@
 )
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.exchange_call import exchange_call
-from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.refusal import Refusal, combine_refusals
+from gentianlink.node.proxy.retry_budget import RetryBudget
 
 RETRY_AFTER_MS = 100
 GATE_SILENCE_SHARE = 0.4
-REASONS_FOR_FRESH_CONNECTION = (Reason.TARGET_LOST, Reason.TARGET_SILENT)
+NEW_CONNECTION_ONLY = 0
 
 
 class Dispatcher:
@@ -40,6 +41,7 @@
         self._pool = pool
         self._claims = claims
         self._silence_ms = silence_ms
+        self._budgets = {}
 
     async def dispatch(self, call, entry, target_id, writer, version):
         """Run a call on one target and relay the answer.
@@ -67,8 +69,13 @@
             return Refusal(Reason.WRONG_NODE, retry_after_ms=RETRY_AFTER_MS)
         if target.state is not TargetState.READY:
             return Refusal(Reason.DRAINING, retry_after_ms=RETRY_AFTER_MS)
-        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
-        refusal = await target.gate.enter(entry.limits.queue, remaining_ms)
+        refusal = await target.gate.enter(
+            entry.limits.queue,
+            call.deadline_ms,
+            get_monotonic_ms(),
+            entry.owner,
+            call.caller,
+        )
         if refusal is not None:
             return refusal
         work = self._run_in_slot(call, entry, target, writer, version)
@@ -81,7 +88,8 @@
         try:
             return await self._run(call, entry, target, writer, version)
         finally:
-            target.gate.leave(get_monotonic_ms() - started_ms)
+            now_ms = get_monotonic_ms()
+            target.gate.leave(now_ms - started_ms, now_ms)
 
     async def _run(self, call, entry, target, writer, version):
         if entry.work_class is WorkClass.AT_MOST_ONCE:
@@ -101,28 +109,51 @@
 
     async def _exchange(self, call, target, relay, is_repeatable=False):
         """Send a call to a target; try a fresh connection if that does no harm."""
+        now_ms = get_monotonic_ms()
+        budget = self._get_budget(target.service, now_ms)
+        budget.record_call(now_ms)
         max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
-        silence_share = GATE_SILENCE_SHARE if is_repeatable else 1.0
-        refusal = await self._exchange_once(
-            call, target, relay, max_idle_ms, silence_share
-        )
-        if refusal is None or not is_repeatable or relay.is_begun:
-            return refusal
-        if refusal.reason not in REASONS_FOR_FRESH_CONNECTION:
-            return refusal
-        if not call.is_replayable or call.attempt > 1:
-            return refusal
-        return await self._exchange_once(call, target, relay, 0, 1.0)
-
-    async def _exchange_once(self, call, target, relay, max_idle_ms, silence_share):
+        share = GATE_SILENCE_SHARE if is_repeatable else 1.0
         try:
-            stream = await self._pool.acquire(
-                target.address, target.port, get_monotonic_ms(), max_idle_ms
-            )
+            stream = await self._acquire(target, max_idle_ms)
         except TargetUnreachable:
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
         except ConnectionLimitReached:
             return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
+        is_used = stream.exchanges > 0
+        refusal = await self._send(stream, call, relay, share)
+        if not is_repeatable or not _may_be_stale(refusal, is_used, relay, call):
+            return refusal
+        if refusal.reason is Reason.TARGET_SILENT and not budget.try_take():
+            return refusal
+        try:
+            stream = await self._acquire(target, NEW_CONNECTION_ONLY)
+        except (TargetUnreachable, ConnectionLimitReached):
+            return refusal
+        return combine_refusals(refusal, await self._send(stream, call, relay, 1.0))
+
+    def _get_budget(self, service, now_ms):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(now_ms)
+        return budget
+
+    async def _acquire(self, target, max_idle_ms):
+        return await self._pool.acquire(
+            target.address, target.port, get_monotonic_ms(), max_idle_ms
+        )
+
+    async def _send(self, stream, call, relay, silence_share):
         return await exchange_call(
             self._pool, stream, call, relay, self._silence_ms, silence_share
         )
+
+
+def _may_be_stale(refusal, is_used, relay, call):
+    if refusal is None or relay.is_begun:
+        return False
+    if not call.is_replayable or call.attempt > 1:
+        return False
+    if refusal.reason is Reason.TARGET_LOST:
+        return is_used
+    return refusal.reason is Reason.TARGET_SILENT
--- a/packages/node/src/gentianlink/node/proxy/gate.py
+++ b/packages/node/src/gentianlink/node/proxy/gate.py
@@ -1,12 +1,23 @@
-"""The gate before a local target: its slots and a short queue."""
+"""The gate before a local target: its slots and a short queue.
+
+A call waits only if it can be expected to end before its deadline; any other is
+refused at once and told when to come back. So the queue never holds work that nobody
+waits for any more, whatever load is offered.
+"""
 
 import asyncio
-import collections
 
 from gentianlink.core.reason import Reason
+from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.proxy.queue_order import pick_oldest
+from gentianlink.node.proxy.queue_share import find_displaced
 from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.waiting_call import WaitingCall
 
 MIN_RETRY_AFTER_MS = 20
+MAX_WAIT_SHARE = 0.5
+MEAN_WEIGHT = 0.1
+MS_PER_S = 1000
 
 
 class Gate:
@@ -16,12 +27,15 @@
     ----------
     slots : int
         Calls that the target executes at once.
+    pick_next : callable, optional
+        Returns the position of the call that is admitted next.
     """
 
-    def __init__(self, slots):
+    def __init__(self, slots, pick_next=pick_oldest):
         self._slots = slots
+        self._pick_next = pick_next
         self._in_flight = 0
-        self._waiting = collections.deque()
+        self._waiting = []
         self._is_draining = False
         self._mean_ms = 0.0
 
@@ -45,72 +59,147 @@
         """Calls that wait for a slot."""
         return len(self._waiting)
 
+    @property
+    def mean_ms(self):
+        """Mean time in milliseconds for which a call holds its slot."""
+        return self._mean_ms
+
     def drain(self):
-        """Take no new work from now on."""
+        """Take no new work from now on; calls that wait can go elsewhere."""
         self._is_draining = True
+        refusal = Refusal(Reason.DRAINING, retry_after_ms=MIN_RETRY_AFTER_MS)
+        for waiter in self._waiting:
+            _set_result(waiter, refusal)
+        self._waiting.clear()
 
-    async def enter(self, queue_limit, remaining_ms):
+    def resize(self, slots):
+        """Change the number of slots; calls that wait take those that are new.
+
+        Parameters
+        ----------
+        slots : int
+            Calls that the target executes at once from now on.
+        """
+        self._slots = slots
+        self._admit_waiting(get_monotonic_ms())
+
+    def estimate_wait_ms(self, calls_before):
+        """Return the time until a slot is free for a call in the queue.
+
+        Parameters
+        ----------
+        calls_before : int
+            Calls that take a slot before it.
+
+        Returns
+        -------
+        float
+            Time in milliseconds.
+        """
+        return self._mean_ms * (calls_before + 1) / max(1, self._slots)
+
+    async def enter(self, queue_limit, deadline_ms, now_ms, owner="", caller=""):
         """Take a slot, waiting in the queue if there is none.
 
         Parameters
         ----------
         queue_limit : int
             Calls that may wait.
-        remaining_ms : float
-            Time until the call's deadline in milliseconds.
+        deadline_ms : float
+            Deadline of the call on the monotonic clock in milliseconds.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        owner : str, optional
+            Owner of the entry, for fair shares of the queue.
+        caller : str, optional
+            Name of the caller, for fair shares of the queue.
 
         Returns
         -------
         Refusal or None
-            None if the call has a slot; else why it was refused, at once.
+            None if the call has a slot; else why it was refused.
         """
         if self._is_draining:
             return Refusal(Reason.DRAINING, retry_after_ms=MIN_RETRY_AFTER_MS)
         if self._in_flight < self._slots:
             self._in_flight += 1
             return None
-        wait_ms = self._estimate_wait_ms()
-        if len(self._waiting) >= queue_limit or wait_ms >= remaining_ms:
-            retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_ms))
-            return Refusal(Reason.OVERLOADED, retry_after_ms=retry_after_ms)
-        return await self._wait(remaining_ms)
-
-    async def _wait(self, remaining_ms):
-        waiter = asyncio.get_running_loop().create_future()
+        waiter = WaitingCall(_make_future(), deadline_ms, owner, caller)
+        if not self._has_room(queue_limit, deadline_ms, now_ms):
+            displaced = find_displaced(self._waiting, owner, caller)
+            if displaced is None or not self._is_in_time(deadline_ms, now_ms):
+                return self._refuse()
+            self._waiting.remove(displaced)
+            _set_result(displaced, self._refuse())
         self._waiting.append(waiter)
+        return await self._wait(waiter, deadline_ms - now_ms)
+
+    def _has_room(self, queue_limit, deadline_ms, now_ms):
+        if len(self._waiting) >= queue_limit:
+            return False
+        wait_ms = self.estimate_wait_ms(len(self._waiting))
+        remaining_ms = deadline_ms - now_ms
+        return wait_ms <= min(
+            remaining_ms * MAX_WAIT_SHARE, remaining_ms - self._mean_ms
+        )
+
+    def _is_in_time(self, deadline_ms, now_ms):
+        return self._mean_ms <= deadline_ms - now_ms
+
+    def _refuse(self):
+        wait_ms = self.estimate_wait_ms(len(self._waiting))
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_ms))
+        return Refusal(Reason.OVERLOADED, retry_after_ms=retry_after_ms)
+
+    async def _wait(self, waiter, remaining_ms):
         try:
-            async with asyncio.timeout(remaining_ms / 1000):
-                await waiter
+            async with asyncio.timeout(remaining_ms / MS_PER_S):
+                return await waiter.result
         except TimeoutError:
             self._give_up(waiter)
             return Refusal(Reason.DEADLINE_PASSED)
         except asyncio.CancelledError:
             self._give_up(waiter)
             raise
-        return None
 
     def _give_up(self, waiter):
         if waiter in self._waiting:
             self._waiting.remove(waiter)
-        elif waiter.done() and not waiter.cancelled():
-            self.leave(0.0)
+        elif not waiter.result.cancelled() and waiter.result.result() is None:
+            self.leave(0.0, get_monotonic_ms())
 
-    def leave(self, elapsed_ms):
-        """Give back a slot; the first call that waits takes it.
+    def leave(self, elapsed_ms, now_ms):
+        """Give back a slot; the next call that waits takes it.
 
         Parameters
         ----------
         elapsed_ms : float
-            Time that the target took in milliseconds; 0 if it did not run.
+            Time for which the slot was held in milliseconds; 0 if it was not used.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
         """
         if elapsed_ms:
-            self._mean_ms += 0.1 * (elapsed_ms - self._mean_ms)
-        while self._waiting:
-            waiter = self._waiting.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
+            weight = MEAN_WEIGHT if self._mean_ms else 1.0
+            self._mean_ms += weight * (elapsed_ms - self._mean_ms)
         self._in_flight -= 1
+        self._admit_waiting(now_ms)
+
+    def _admit_waiting(self, now_ms):
+        while self._waiting and self._in_flight < self._slots:
+            waiter = self._waiting.pop(self._pick_next(self._waiting))
+            if waiter.result.done():
+                continue
+            if not self._is_in_time(waiter.deadline_ms, now_ms):
+                _set_result(waiter, self._refuse())
+                continue
+            self._in_flight += 1
+            waiter.result.set_result(None)
+
+
+def _make_future():
+    return asyncio.get_running_loop().create_future()
+
 
-    def _estimate_wait_ms(self):
-        return self._mean_ms * (len(self._waiting) + 1) / max(1, self._slots)
+def _set_result(waiter, refusal):
+    if not waiter.result.done():
+        waiter.result.set_result(refusal)
--- a/packages/node/src/gentianlink/node/proxy/load_view.py
+++ b/packages/node/src/gentianlink/node/proxy/load_view.py
@@ -1,35 +1,93 @@
 """How busy each endpoint looks from this node."""
 
-import collections
+import attrs
+
+REPORT_LIFETIME_MS = 1000
+SLOW_START_MS = 5000
+SLOW_START_SHARE = 0.1
+FORGET_MS = 30_000
+
+
+@attrs.define
+class _TargetLoad:
+    first_seen_ms: float
+    last_seen_ms: float
+    outstanding: int = 0
+    others: float = 0.0
+    reported_ms: float = -REPORT_LIFETIME_MS
 
 
 class LoadView:
-    """Own outstanding calls for each target."""
+    """Own outstanding calls, and what answers said of calls of other nodes."""
 
     def __init__(self):
-        self._outstanding = collections.Counter()
+        self._loads = {}
+        self._swept_ms = 0.0
 
-    def get_load(self, endpoint):
+    def get_load(self, endpoint, now_ms):
         """Return the load of an endpoint; 1 or more means no known free slot.
 
+        The slots of a target that this node has not used for long count for less at
+        first, so that a cold target is not given its whole share at once.
+
         Parameters
         ----------
         endpoint : Endpoint
             The endpoint.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
 
         Returns
         -------
         float
-            Outstanding calls for each slot.
+            Calls for each slot.
         """
-        return self._outstanding[endpoint.target_id] / max(1, endpoint.slots)
+        load = self._get(endpoint.target_id, now_ms)
+        age_ms = now_ms - load.reported_ms
+        others = load.others * max(0.0, 1 - age_ms / REPORT_LIFETIME_MS)
+        warm_share = (now_ms - load.first_seen_ms) / SLOW_START_MS
+        share = min(1.0, SLOW_START_SHARE + (1 - SLOW_START_SHARE) * warm_share)
+        slots = max(1.0, endpoint.slots * share)
+        return (load.outstanding + others) / slots
 
-    def begin(self, target_id):
-        """Count a call that was sent to a target."""
-        self._outstanding[target_id] += 1
+    def _get(self, target_id, now_ms):
+        load = self._loads.get(target_id)
+        if load is None:
+            self._sweep(now_ms)
+            load = _TargetLoad(now_ms, now_ms)
+            self._loads[target_id] = load
+        load.last_seen_ms = now_ms
+        return load
 
-    def end(self, target_id):
+    def _sweep(self, now_ms):
+        if now_ms - self._swept_ms < FORGET_MS:
+            return
+        self._swept_ms = now_ms
+        for target_id, load in list(self._loads.items()):
+            if not load.outstanding and now_ms - load.last_seen_ms >= FORGET_MS:
+                del self._loads[target_id]
+
+    def begin(self, target_id, now_ms):
+        """Count a call that is sent to a target."""
+        self._get(target_id, now_ms).outstanding += 1
+
+    def end(self, target_id, now_ms):
         """Count a call that is over."""
-        self._outstanding[target_id] -= 1
-        if not self._outstanding[target_id]:
-            del self._outstanding[target_id]
+        self._get(target_id, now_ms).outstanding -= 1
+
+    def report(self, endpoint, free_slots, now_ms):
+        """Take in the free slots that came with an answer, before its call ends.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        free_slots : int
+            Free slots once the call of that answer has ended.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        load = self._get(endpoint.target_id, now_ms)
+        own = max(0, load.outstanding - 1)
+        load.others = max(0, endpoint.slots - free_slots - own)
+        load.reported_ms = now_ms
--- a/packages/node/src/gentianlink/node/proxy/refusal.py
+++ b/packages/node/src/gentianlink/node/proxy/refusal.py
@@ -52,3 +52,23 @@
     def status(self):
         """HTTP status of the answer."""
         return STATUS_BY_REASON.get(self.reason, STATUS_UNAVAILABLE)
+
+
+def combine_refusals(earlier, later):
+    """Return what to say of a call after a later attempt.
+
+    Parameters
+    ----------
+    earlier : Refusal or None
+        Result of the earlier attempts; None before the first.
+    later : Refusal or None
+        Result of the later attempt.
+
+    Returns
+    -------
+    Refusal or None
+        The later one. It says "not run" only if no earlier attempt may have run.
+    """
+    if earlier is None or later is None or earlier.outcome is not Outcome.UNKNOWN:
+        return later
+    return attrs.evolve(later, outcome=Outcome.UNKNOWN)
--- a/packages/node/src/gentianlink/node/proxy/router.py
+++ b/packages/node/src/gentianlink/node/proxy/router.py
@@ -5,6 +5,7 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.failure_kind import FailureKind
 from gentianlink.node.proxy.answer_relay import AnswerRelay, read_node_refusal
 from gentianlink.node.proxy.connection_pool import (
     MAX_IDLE_MS,
@@ -12,11 +13,20 @@
 )
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.exchange_call import exchange_call
-from gentianlink.node.proxy.refusal import Refusal
-from gentianlink.ops.choose import choose_endpoint
+from gentianlink.node.proxy.refusal import Refusal, combine_refusals
+from gentianlink.node.proxy.retry_budget import RetryBudget
+from gentianlink.ops.choose import NO_FREE_SLOT, choose_endpoint
 
 RETRY_AFTER_MS = 100
 ROUTER_SILENCE_SHARE = 0.7
+FAILURE_KINDS = {
+    Reason.TARGET_UNREACHABLE: FailureKind.REFUSED,
+    Reason.TARGET_LOST: FailureKind.RESET,
+    Reason.TARGET_SILENT: FailureKind.SILENT,
+}
+REASONS_OF_FULL_TARGETS = (Reason.OVERLOADED, Reason.TARGET_SHED)
+REASONS_WITHOUT_BUDGET = (Reason.DRAINING, Reason.WRONG_NODE)
+REASONS_WITHOUT_RETRY = (Reason.DEADLINE_PASSED, Reason.BAD_ANSWER)
 
 
 class Router:
@@ -32,16 +42,20 @@
         Connections to other nodes.
     load : LoadView
         How busy endpoints look.
+    health : EndpointHealth
+        Endpoints to avoid because calls to them failed.
     silence_ms : int
         Longest time in milliseconds without progress of an answer.
     """
 
-    def __init__(self, own_record, dispatcher, pool, load, silence_ms):
+    def __init__(self, own_record, dispatcher, pool, load, health, silence_ms):
         self._own_record = own_record
         self._dispatcher = dispatcher
         self._pool = pool
         self._load = load
+        self._health = health
         self._silence_ms = silence_ms
+        self._budgets = {}
 
     async def route(self, call, route, writer, version):
         """Route a call and relay its answer.
@@ -62,33 +76,95 @@
         Refusal or None
             None if an answer was relayed whole.
         """
+        now_ms = get_monotonic_ms()
+        budget = self._get_budget(route.entry.service, now_ms)
+        budget.record_call(now_ms)
         tried = set()
         refusal = Refusal(Reason.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
         for attempt in range(1, route.entry.limits.retries + 2):
-            if call.get_remaining_ms(get_monotonic_ms()) <= 0:
-                return Refusal(Reason.DEADLINE_PASSED, refusal.outcome)
-            endpoint = choose_endpoint(
-                route, self._own_record.data_centre, self._load.get_load, tried
-            )
+            now_ms = get_monotonic_ms()
+            endpoint = self._choose(route, tried, now_ms)
             if endpoint is None:
                 return refusal
-            tried.add(endpoint.target_id)
-            numbered = attrs.evolve(call, attempt=attempt)
-            refusal = await self._try(numbered, route, endpoint, writer, version)
-            if refusal is None or not _may_retry(route, refusal, writer):
+            if attempt > 1 and not self._may_try(endpoint, budget, refusal, now_ms):
                 return refusal
+            tried.add(endpoint.target_id)
+            numbered = call
+            if attempt > 1:
+                numbered = attrs.evolve(call, attempt=call.attempt + attempt - 1)
+            result = await self._try(numbered, route, endpoint, writer, version)
+            refusal = combine_refusals(refusal, result)
+            if refusal is None:
+                budget.record_answer(get_monotonic_ms() - now_ms)
+                return None
+            is_last = not self._may_retry(call, route, refusal, writer, budget)
+            refusal = attrs.evolve(refusal, attempts=refusal.attempts + attempt - 1)
+            if is_last:
+                break
         return refusal
 
+    def _get_budget(self, service, now_ms):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(now_ms)
+        return budget
+
+    def _choose(self, route, tried, now_ms):
+        endpoints = self._health.get_usable_endpoints(route, now_ms)
+        return choose_endpoint(
+            route,
+            self._own_record,
+            endpoints,
+            lambda endpoint: self._load.get_load(endpoint, now_ms),
+            tried,
+        )
+
+    def _may_retry(self, call, route, refusal, writer, budget):
+        if writer.is_started or not call.is_replayable:
+            return False
+        if call.attempt > 1 or refusal.attempts > 1:
+            return False
+        if refusal.reason in REASONS_WITHOUT_RETRY:
+            return False
+        is_repeatable = route.entry.work_class.is_repeatable
+        is_unknown = refusal.outcome is Outcome.UNKNOWN
+        if refusal.outcome is Outcome.DONE or (is_unknown and not is_repeatable):
+            return False
+        return budget.has_time(call.get_remaining_ms(get_monotonic_ms()))
+
+    def _may_try(self, endpoint, budget, refusal, now_ms):
+        if refusal.reason in REASONS_WITHOUT_BUDGET:
+            return True
+        is_full = self._load.get_load(endpoint, now_ms) >= NO_FREE_SLOT
+        if refusal.reason in REASONS_OF_FULL_TARGETS and is_full:
+            return False
+        return budget.try_take()
+
     async def _try(self, call, route, endpoint, writer, version):
-        self._load.begin(endpoint.target_id)
+        target_id = endpoint.target_id
+        self._load.begin(target_id, get_monotonic_ms())
         try:
             if endpoint.node_id == self._own_record.node_id:
-                return await self._dispatcher.dispatch(
-                    call, route.entry, endpoint.target_id, writer, version
+                refusal = await self._dispatcher.dispatch(
+                    call, route.entry, target_id, writer, version
                 )
-            return await self._forward(call, route, endpoint, writer, version)
+            else:
+                refusal = await self._forward(call, route, endpoint, writer, version)
         finally:
-            self._load.end(endpoint.target_id)
+            now_ms = get_monotonic_ms()
+            self._load.end(target_id, now_ms)
+        self._report(endpoint, refusal, now_ms)
+        return refusal
+
+    def _report(self, endpoint, refusal, now_ms):
+        if refusal is None:
+            self._health.report_success(endpoint.target_id, now_ms)
+            return
+        if refusal.reason in REASONS_OF_FULL_TARGETS:
+            self._load.report(endpoint, 0, now_ms)
+        kind = FAILURE_KINDS.get(refusal.reason)
+        if kind is not None:
+            self._health.report_failure(endpoint.target_id, kind, now_ms)
 
     async def _forward(self, call, route, endpoint, writer, version):
         is_repeatable = route.entry.work_class.is_repeatable
@@ -107,24 +183,17 @@
             is_head=call.method == "HEAD",
             read_refusal=read_node_refusal,
         )
-        silence_share = ROUTER_SILENCE_SHARE if is_repeatable else 1.0
         refusal = await exchange_call(
             self._pool,
             stream,
             call,
             relay,
             self._silence_ms,
-            silence_share,
+            ROUTER_SILENCE_SHARE if is_repeatable else 1.0,
             target_id=endpoint.target_id,
         )
+        if relay.free_slots is not None:
+            self._load.report(endpoint, relay.free_slots, get_monotonic_ms())
         if refusal is None:
             await relay.end()
         return refusal
-
-
-def _may_retry(route, refusal, writer):
-    if writer.is_started:
-        return False
-    if refusal.outcome is Outcome.NOT_RUN:
-        return refusal.reason is not Reason.DEADLINE_PASSED
-    return refusal.outcome is Outcome.UNKNOWN and route.entry.work_class.is_repeatable
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -20,6 +20,7 @@
 )
 from gentianlink.node.proxy.call_reader import CallReader
 from gentianlink.node.proxy.call_stream import CallConnection, CallStream
+from gentianlink.node.proxy.entry_limiter import EntryLimiter
 from gentianlink.node.proxy.errors import CallerGone
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.ops.build_table import get_route
@@ -54,6 +55,7 @@
         self._dispatcher = dispatcher
         self._get_table = get_table
         self._is_ready = is_ready
+        self._limiter = EntryLimiter()
         self._tasks = set()
         self._streams = {}
         self._outcomes = dict.fromkeys(Outcome, 0)
@@ -237,7 +239,13 @@
             return await self._dispatcher.dispatch(
                 call, route.entry, target_id, writer, table.version
             )
-        return await self._router.route(call, route, writer, table.version)
+        refusal = self._limiter.enter(route.entry, call.caller, get_monotonic_ms())
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._router.route(call, route, writer, table.version)
+        finally:
+            self._limiter.leave(route.entry, call.caller)
 
     def stop_listening(self):
         """Accept no further connections."""
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/test_gate.py
@@ -0,0 +1,173 @@
+import asyncio
+
+import pytest
+
+from gentianlink.core.reason import Reason
+from gentianlink.node.proxy.gate import Gate
+from gentianlink.node.proxy.queue_order import pick_earliest_deadline, pick_newest
+
+FAR_MS = 1e15
+
+
+async def start(gate, queue_limit=10, deadline_ms=FAR_MS, now_ms=0.0, **flow):
+    task = asyncio.create_task(gate.enter(queue_limit, deadline_ms, now_ms, **flow))
+    await asyncio.sleep(0)
+    return task
+
+
+async def fill(gate, count):
+    for _ in range(count):
+        assert await gate.enter(0, FAR_MS, 0.0) is None
+
+
+def get_reasons(tasks):
+    return [
+        task.result() and task.result().reason if task.done() else "waits"
+        for task in tasks
+    ]
+
+
+class TestGate:
+    def test_slots_then_queue_then_refusal(self):
+        async def run():
+            gate = Gate(2)
+            tasks = [await start(gate, queue_limit=1) for _ in range(4)]
+            before = get_reasons(tasks)
+            gate.leave(10.0, 10.0)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            after = get_reasons(tasks), gate.in_flight
+            gate.drain()
+            return before, after
+
+        assert asyncio.run(run()) == (
+            [None, None, "waits", Reason.OVERLOADED],
+            ([None, None, None, Reason.OVERLOADED], 2),
+        )
+
+    def test_call_that_cannot_end_in_time_is_refused_at_once(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            gate.leave(100.0, 0.0)
+            await fill(gate, 1)
+            return [
+                await gate.enter(10, deadline_ms, 0.0) for deadline_ms in (90, 150, 199)
+            ]
+
+        refusals = asyncio.run(run())
+        assert [item.reason for item in refusals] == [Reason.OVERLOADED] * 3
+        assert [item.retry_after_ms for item in refusals] == [100] * 3
+
+    def test_call_whose_time_ran_out_in_the_queue_is_not_run(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            late = await start(gate, deadline_ms=1e9)
+            next_call = await start(gate)
+            gate.leave(1.0, 2e9)
+            await asyncio.gather(late, next_call)
+            return get_reasons([late, next_call]), gate.in_flight
+
+        assert asyncio.run(run()) == ([Reason.OVERLOADED, None], 1)
+
+    def test_deadline_passes_in_the_queue(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            return (await gate.enter(10, 5.0, 0.0)).reason, gate.queued
+
+        assert asyncio.run(run()) == (Reason.DEADLINE_PASSED, 0)
+
+    def test_cancelled_call_leaves_the_queue(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            task = await start(gate)
+            task.cancel()
+            await asyncio.wait([task])
+            return gate.queued, gate.in_flight
+
+        assert asyncio.run(run()) == (0, 1)
+
+    def test_call_cancelled_as_it_gets_its_slot_gives_it_back_once(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            task = await start(gate)
+            gate.leave(1.0, 1.0)
+            task.cancel()
+            await asyncio.wait([task])
+            return gate.queued, gate.in_flight
+
+        assert asyncio.run(run()) == (0, 0)
+
+    def test_drain_sends_waiting_calls_elsewhere_and_cuts_none(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            task = await start(gate)
+            gate.drain()
+            await task
+            late = await gate.enter(10, FAR_MS, 0.0)
+            return task.result().reason, late.reason, gate.in_flight
+
+        assert asyncio.run(run()) == (Reason.DRAINING, Reason.DRAINING, 1)
+
+    def test_more_slots_admit_calls_that_wait(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            tasks = [await start(gate) for _ in range(3)]
+            gate.resize(3)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            reasons = get_reasons(tasks)
+            gate.drain()
+            return reasons, gate.in_flight
+
+        assert asyncio.run(run()) == ([None, None, "waits"], 3)
+
+    @pytest.mark.parametrize(
+        ("pick", "admitted"), [(pick_newest, 2), (pick_earliest_deadline, 1)]
+    )
+    def test_order_of_the_queue_is_a_parameter(self, pick, admitted):
+        async def run():
+            gate = Gate(1, pick)
+            await fill(gate, 1)
+            tasks = [await start(gate, deadline_ms=d) for d in (3e9, 1e9, 2e9)]
+            gate.leave(1.0, 1.0)
+            await tasks[admitted]
+            gate.drain()
+            await asyncio.gather(*tasks)
+            return get_reasons(tasks)
+
+        expected = [Reason.DRAINING] * 3
+        expected[admitted] = None
+        assert asyncio.run(run()) == expected
+
+    def test_full_queue_is_shared_between_owners_and_callers(self):
+        async def run():
+            gate = Gate(1)
+            await fill(gate, 1)
+            flows = [("a", "x"), ("a", "x"), ("a", "y"), ("a", "x")]
+            flows += [("b", "z"), ("b", "z"), ("b", "z"), ("a", "y")]
+            tasks = [
+                await start(gate, queue_limit=4, owner=owner, caller=caller)
+                for owner, caller in flows
+            ]
+            await asyncio.sleep(0)
+            reasons = get_reasons(tasks)
+            gate.drain()
+            return reasons
+
+        assert asyncio.run(run()) == [
+            "waits",
+            Reason.OVERLOADED,
+            "waits",
+            Reason.OVERLOADED,
+            "waits",
+            "waits",
+            Reason.OVERLOADED,
+            Reason.OVERLOADED,
+        ]
--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/waiting_call.py
@@ -0,0 +1,27 @@
+"""A call that waits for a slot."""
+
+import asyncio
+
+import attrs
+
+
+@attrs.define(eq=False)
+class WaitingCall:
+    """One place in the queue of a gate.
+
+    Attributes
+    ----------
+    result : asyncio.Future
+        Result of the wait: None for a slot, else a Refusal.
+    deadline_ms : float
+        Deadline on the monotonic clock in milliseconds.
+    owner : str
+        Owner of the entry.
+    caller : str
+        Name of the caller.
+    """
+
+    result: asyncio.Future
+    deadline_ms: float
+    owner: str
+    caller: str
