--- a/packages/node/src/gentianlink/node/claims/recording_relay.py
+++ b/packages/node/src/gentianlink/node/claims/recording_relay.py
@@ -33,14 +33,14 @@
         """Body of the answer; None if it was larger than the bound."""
         return bytes(self._kept) if self._is_whole else None
 
-    async def data_received(self, chunk):
-        """Keep a part of the body and relay it while the caller is there."""
+    async def deliver(self, chunk):
+        """Keep a part of the body and write it while the caller is there."""
         if len(self._kept) + len(chunk) > self._max_bytes:
             self._is_whole = False
             self._kept.clear()
         if self._is_whole:
             self._kept += chunk
-        await self._relay(super().data_received(chunk))
+        await self._relay(super().deliver(chunk))
 
     async def end(self):
         """End the caller's answer if the caller is still there."""
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -14,6 +14,7 @@
 from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
 from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
@@ -75,8 +76,20 @@
             self._claim_counts,
             make_is_live(self._membership),
         )
-        dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
-        router = Router(own_record, dispatcher, self._pool, LoadView())
+        dispatcher = Dispatcher(
+            self._local_targets,
+            self._pool,
+            self._claims,
+            settings.calls.silence_timeout_ms,
+        )
+        router = Router(
+            own_record,
+            dispatcher,
+            self._pool,
+            LoadView(),
+            EndpointHealth(),
+            settings.calls.silence_timeout_ms,
+        )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
         self._metrics = NodeMetrics()
 
@@ -181,6 +194,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        self._calls.close()
         await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
@@ -211,7 +225,10 @@
 
     async def _run_expiry(self):
         while True:
-            self._local_targets.expire(get_monotonic_ms())
+            now_ms = get_monotonic_ms()
+            self._local_targets.expire(now_ms)
+            self._pool.sweep(now_ms)
+            self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
     async def _run_cleaner(self):
--- a/packages/testing/src/gentianlink/testing/claim_world.py
+++ b/packages/testing/src/gentianlink/testing/claim_world.py
@@ -243,8 +243,10 @@
         refusal = await self.wait(submission.node_id, "target", perform)
         if refusal is not None:
             return refusal
-        relay.headers_received(ResponseStartLine("", 200, ""), HTTPHeaders())
-        await relay.data_received(make_answer(submission.key, submission.body))
+        answer = make_answer(submission.key, submission.body)
+        headers = HTTPHeaders({"Content-Length": str(len(answer))})
+        relay.headers_received(ResponseStartLine("", 200, ""), headers)
+        await relay.data_received(answer)
         relay.finish()
         return None
 
