--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -40,7 +40,7 @@
     seeds: tuple[str, ...] = address_list(default=())
     links_inside: int = integer(1, 64, default=3)
     links_across: int = integer(0, 64, default=2)
-    push_links: int = integer(0, 64, default=2)
+    push_links: int = integer(0, 64, default=1)
     snapshots_per_s: int = integer(1, 1000, default=4)
     distribution: str = choice("mesh", "platform", default="mesh")
     readers: int = integer(1, 100_000, default=2)
@@ -59,6 +59,19 @@
     target_lease_ms: int = integer(100, 600_000, default=3000)
 
 
+@attrs.frozen
+class ClaimSettings:
+    """Section ``claims``: at-most-once execution."""
+
+    batch_rows: int = integer(1, 1000, default=64)
+    batch_wait_ms: int = integer(0, 1000, default=0)
+    max_pending: int = integer(1, 1_000_000, default=2000)
+    answer_max_bytes: int = integer(0, 1 << 20, default=16 * 1024)
+    retention_hours: int = integer(1, 8760, default=24)
+    clean_rows: int = integer(1, 1000, default=100)
+    clean_period_ms: int = integer(100, 600_000, default=5000)
+
+
 @attrs.frozen
 class LogSettings:
     """Section ``log``: structured logs on standard error."""
@@ -75,4 +88,5 @@
     platform: PlatformSettings
     mesh: MeshSettings
     calls: CallSettings
+    claims: ClaimSettings
     log: LogSettings
--- a/packages/node/src/gentianlink/node/mesh/test_convergence_service.py
+++ b/packages/node/src/gentianlink/node/mesh/test_convergence_service.py
@@ -12,7 +12,7 @@
 from gentianlink.node.test_applied_catalogue import ONE, apply_snapshot
 from gentianlink.node.test_report_collector import FakeMembership
 from gentianlink.ops.convergence import get_collectors
-from gentianlink.testing.fleet import get_free_ports
+from gentianlink.testing.loopback import get_own_address, get_ports
 
 
 class FakeNode:
@@ -51,9 +51,10 @@
 
 
 def make_nodes():
-    ports = get_free_ports("127.0.0.1", 4)
+    ports = get_ports(4)
+    address = get_own_address(1)
     return [
-        NodeRecord(f"n{number}", 1, 1, "r", data_centre, "127.0.0.1", 1, port, 1)
+        NodeRecord(f"n{number}", 1, 1, "r", data_centre, address, 1, port, 1)
         for number, (data_centre, port) in enumerate(
             zip(("north", "north", "north", "south"), ports, strict=True)
         )
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -17,6 +17,12 @@
         self._platform = Gauge(
             "gentianlink_platform_requests", "Requests to the platform by kind."
         )
+        self._claims = Gauge(
+            "gentianlink_claims", "Results of at-most-once calls by kind."
+        )
+        self._claims_pending = Gauge(
+            "gentianlink_claims_pending", "At-most-once calls and writes under way."
+        )
 
         self._platform_bytes = Gauge(
             "gentianlink_platform_bytes", "Bytes exchanged with the platform."
@@ -57,3 +63,7 @@
             labels = {"scope": "data_centre"}
             self._convergence.set(labels, status.data_centre_convergence_ms)
         self._platform_bytes.set({}, status.platform_bytes)
+        for result, count in status.claims.items():
+            self._claims.set({"result": result}, count)
+        for kind, count in status.claims_pending.items():
+            self._claims_pending.set({"kind": kind}, count)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -10,7 +10,11 @@
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
+from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
@@ -81,9 +85,28 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        self._claims = AtMostOnce(self._platform_table, own_record)
-        dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
-        router = Router(own_record, dispatcher, self._pool, LoadView())
+        self._claim_counts = ClaimCounts()
+        self._claims = AtMostOnce.from_settings(
+            settings.claims,
+            own_record,
+            self._platform_table,
+            self._claim_counts,
+            make_is_live(self._membership),
+        )
+        dispatcher = Dispatcher(
+            self._local_targets,
+            self._pool,
+            self._claims,
+            settings.calls.silence_timeout_ms,
+        )
+        router = Router(
+            own_record,
+            dispatcher,
+            self._pool,
+            LoadView(),
+            EndpointHealth(),
+            settings.calls.silence_timeout_ms,
+        )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
         self._metrics = NodeMetrics()
 
@@ -140,6 +163,8 @@
             platform_writes=self._platform_table.writes,
             platform_bytes=self._platform_table.transferred_bytes
             + self._platform_objects.transferred_bytes,
+            claims=self._claim_counts.get_all(),
+            claims_pending=self._claims.pending,
         )
 
     async def compute_convergence(self, version):
@@ -190,6 +215,7 @@
             self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
@@ -203,6 +229,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        self._calls.close()
         await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
@@ -239,9 +266,20 @@
 
     async def _run_expiry(self):
         while True:
-            self._local_targets.expire(get_monotonic_ms())
+            now_ms = get_monotonic_ms()
+            self._local_targets.expire(now_ms)
+            self._pool.sweep(now_ms)
+            self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
+    async def _run_cleaner(self):
+        settings = self._settings.claims
+        cleaner = Cleaner.from_settings(
+            settings, self._platform_table, self._claim_counts
+        )
+        is_cleaner = make_is_cleaner(self._membership)
+        await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
+
     async def _publish_own_row(self):
         own = self._membership.own_record
         key = get_node_key(own.data_centre, own.node_id)
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -50,6 +50,10 @@
         Writes sent to the platform.
     platform_bytes : int
         Bytes exchanged with the platform.
+    claims : dict of str to int
+        Results of at-most-once calls by kind.
+    claims_pending : dict of str to int
+        At-most-once calls and writes under way.
     """
 
     node_id: str
@@ -72,6 +76,8 @@
     platform_reads: int
     platform_writes: int
     platform_bytes: int
+    claims: dict[str, int]
+    claims_pending: dict[str, int]
 
     @property
     def own_convergence_ms(self):
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -1,23 +1,24 @@
 """Execute a call on a local target, behind its gate."""
 
-import asyncio
 import functools
 
-from tornado.httputil import HTTPHeaders
-
-from gentianlink.core import headers as names
-from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_relay import AnswerRelay
-from gentianlink.node.proxy.answer_writer import copy_headers
-from gentianlink.node.proxy.errors import TargetLost, TargetSilent, TargetUnreachable
-from gentianlink.node.proxy.exchange import run_exchange
-from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.connection_pool import (
+    MAX_IDLE_MS,
+    MAX_IDLE_NON_REPEATABLE_MS,
+)
+from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
+from gentianlink.node.proxy.exchange_call import exchange_call
+from gentianlink.node.proxy.refusal import Refusal, combine_refusals
+from gentianlink.node.proxy.retry_budget import RetryBudget
 
 RETRY_AFTER_MS = 100
+GATE_SILENCE_SHARE = 0.4
+NEW_CONNECTION_ONLY = 0
 
 
 class Dispatcher:
@@ -31,12 +32,16 @@
         Connections to them.
     claims : AtMostOnce
         Executes the work of an idempotency key at most once.
+    silence_ms : int
+        Longest time in milliseconds without progress of an answer.
     """
 
-    def __init__(self, local_targets, pool, claims):
+    def __init__(self, local_targets, pool, claims, silence_ms):
         self._local_targets = local_targets
         self._pool = pool
         self._claims = claims
+        self._silence_ms = silence_ms
+        self._budgets = {}
 
     async def dispatch(self, call, entry, target_id, writer, version):
         """Run a call on one target and relay the answer.
@@ -64,8 +69,13 @@
             return Refusal(Reason.WRONG_NODE, retry_after_ms=RETRY_AFTER_MS)
         if target.state is not TargetState.READY:
             return Refusal(Reason.DRAINING, retry_after_ms=RETRY_AFTER_MS)
-        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
-        refusal = await target.gate.enter(entry.limits.queue, remaining_ms)
+        refusal = await target.gate.enter(
+            entry.limits.queue,
+            call.deadline_ms,
+            get_monotonic_ms(),
+            entry.owner,
+            call.caller,
+        )
         if refusal is not None:
             return refusal
         work = self._run_in_slot(call, entry, target, writer, version)
@@ -78,73 +88,72 @@
         try:
             return await self._run(call, entry, target, writer, version)
         finally:
-            target.gate.leave(get_monotonic_ms() - started_ms)
+            now_ms = get_monotonic_ms()
+            target.gate.leave(now_ms - started_ms, now_ms)
 
     async def _run(self, call, entry, target, writer, version):
         if entry.work_class is WorkClass.AT_MOST_ONCE:
             relay = self._claims.make_relay(writer, version)
             run = functools.partial(self._exchange, call, target, relay)
-            return await self._claims.execute(call, entry, relay, run)
-        relay = AnswerRelay(writer, version)
-        refusal = await self._exchange(call, target, relay)
+            return await self._claims.execute(call, relay, run)
+        relay = AnswerRelay(
+            writer,
+            version,
+            is_head=call.method == "HEAD",
+            get_free_slots=lambda: target.gate.free_slots_after_one,
+        )
+        refusal = await self._exchange(call, target, relay, is_repeatable=True)
         if refusal is None:
             await relay.end()
         return refusal
 
-    async def _exchange(self, call, target, relay):
+    async def _exchange(self, call, target, relay, is_repeatable=False):
+        """Send a call to a target; try a fresh connection if that does no harm."""
+        now_ms = get_monotonic_ms()
+        budget = self._get_budget(target.service, now_ms)
+        budget.record_call(now_ms)
+        max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        share = GATE_SILENCE_SHARE if is_repeatable else 1.0
         try:
-            stream = await self._pool.acquire(target.address, target.port)
+            stream = await self._acquire(target, max_idle_ms)
         except TargetUnreachable:
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
-        remaining_ms = call.get_remaining_ms(get_monotonic_ms())
-        if remaining_ms <= 0:
-            self._pool.release(target.address, target.port, stream)
-            return Refusal(Reason.DEADLINE_PASSED)
-        headers = make_target_headers(call, remaining_ms)
+        except ConnectionLimitReached:
+            return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
+        is_used = stream.exchanges > 0
+        refusal = await self._send(stream, call, relay, share)
+        if not is_repeatable or not _may_be_stale(refusal, is_used, relay, call):
+            return refusal
+        if refusal.reason is Reason.TARGET_SILENT and not budget.try_take():
+            return refusal
         try:
-            reusable = await run_exchange(stream, call, headers, relay, remaining_ms)
-        except TargetLost:
-            return Refusal(Reason.TARGET_LOST, Outcome.UNKNOWN)
-        except TargetSilent:
-            return Refusal(Reason.TARGET_SILENT, Outcome.UNKNOWN)
-        if reusable:
-            self._pool.release(target.address, target.port, stream)
-        else:
-            stream.close()
-        return None
-
-
-def make_target_headers(call, remaining_ms):
-    """Return the headers that a target or the node beside it receives.
-
-    Parameters
-    ----------
-    call : Call
-        The call.
-    remaining_ms : float
-        Time until the deadline in milliseconds.
-
-    Returns
-    -------
-    HTTPHeaders
-        End-to-end headers of the caller, with the remaining time.
-    """
-    headers: HTTPHeaders = copy_headers(call.headers)
-    headers[names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
-    headers[names.ATTEMPT] = str(call.attempt)
-    if call.body:
-        headers["Content-Length"] = str(len(call.body))
-    headers.pop("Expect", None)
-    return headers
-
-
-async def cancel_quietly(task):
-    """Cancel a task and wait for its end.
-
-    Parameters
-    ----------
-    task : asyncio.Task
-        The task.
-    """
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
+            stream = await self._acquire(target, NEW_CONNECTION_ONLY)
+        except (TargetUnreachable, ConnectionLimitReached):
+            return refusal
+        return combine_refusals(refusal, await self._send(stream, call, relay, 1.0))
+
+    def _get_budget(self, service, now_ms):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(now_ms)
+        return budget
+
+    async def _acquire(self, target, max_idle_ms):
+        return await self._pool.acquire(
+            target.address, target.port, get_monotonic_ms(), max_idle_ms
+        )
+
+    async def _send(self, stream, call, relay, silence_share):
+        return await exchange_call(
+            self._pool, stream, call, relay, self._silence_ms, silence_share
+        )
+
+
+def _may_be_stale(refusal, is_used, relay, call):
+    if refusal is None or relay.is_begun:
+        return False
+    if not call.is_replayable or call.attempt > 1:
+        return False
+    if refusal.reason is Reason.TARGET_LOST:
+        return is_used
+    return refusal.reason is Reason.TARGET_SILENT
--- a/packages/testing/src/gentianlink/testing/fleet.py
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -2,13 +2,14 @@
 
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 
 import attrs
 
+from gentianlink.testing.loopback import get_own_address, get_ports
+
 NODE_SETTINGS = """\
 [node]
 id = {node_id}
@@ -29,6 +30,7 @@
 {mesh_settings}
 """
 STOP_TIMEOUT_S = 20
+PLATFORM_NUMBER = 250
 
 
 @attrs.define
@@ -73,30 +75,6 @@
         return f"http://{self.address}:{self.admin_port}"
 
 
-def get_free_ports(address, count):
-    """Return TCP ports that are free at the moment.
-
-    Parameters
-    ----------
-    address : str
-        Loopback IP number.
-    count : int
-        Number of ports.
-
-    Returns
-    -------
-    list of int
-        The ports.
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((address, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 class Fleet:
     """Processes of a deployment: the platform stand-in, nodes and targets.
 
@@ -113,14 +91,15 @@
         self._mesh_settings = mesh_settings
         self._directory = tempfile.TemporaryDirectory(prefix="gentianlink-")
         self._platform = None
-        self._platform_port = get_free_ports("127.0.0.1", 1)[0]
+        self._platform_address = get_own_address(PLATFORM_NUMBER)
+        self._platform_port = get_ports(1)[0]
         self._log = open(pathlib.Path(self._directory.name) / "log", "wb")
         self.members = []
 
     @property
     def platform_url(self):
         """Address of the platform stand-in."""
-        return f"http://127.0.0.1:{self._platform_port}"
+        return f"http://{self._platform_address}:{self._platform_port}"
 
     @property
     def log_path(self):
@@ -133,7 +112,7 @@
 
     def start_platform(self):
         """Start the platform stand-in."""
-        arguments = ("127.0.0.1", str(self._platform_port))
+        arguments = (self._platform_address, str(self._platform_port))
         module = "gentianlink.testing.platform_service"
         self._platform = self._start([sys.executable, "-m", module, *arguments])
 
@@ -154,8 +133,8 @@
         Member
             The member.
         """
-        address = f"127.0.{data_centre_number}.1"
-        ports = get_free_ports(address, 4)
+        address = get_own_address(data_centre_number)
+        ports = get_ports(4)
         data_centre = f"{self._region}-{data_centre_number}"
         name = f"{service}-{number}"
         member = Member(name, service, data_centre, address, *ports)
