--- a/packages/core/src/gentianlink/core/errors.py
+++ b/packages/core/src/gentianlink/core/errors.py
@@ -49,6 +49,38 @@
     """Bytes from outside do not decode to the expected type."""
 
 
+class AnnouncementInvalid(GentianlinkError):
+    """An announcement of a target has mistakes and is not taken in.
+
+    Parameters
+    ----------
+    messages : list of str
+        Every mistake found.
+    """
+
+    def __init__(self, messages):
+        super().__init__("; ".join(messages))
+        self.messages = messages
+
+
+class MeshError(GentianlinkError):
+    """Base class of errors of links between nodes."""
+
+
+class LinkRefused(MeshError):
+    """A link was refused or given up.
+
+    Parameters
+    ----------
+    reason : LinkEnd
+        Why.
+    """
+
+    def __init__(self, reason):
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 class PlatformError(GentianlinkError):
     """Base class of errors of the platform's table service and object store."""
 
--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -38,11 +38,14 @@
     """Section ``mesh``: links to other nodes and reading of the head row."""
 
     seeds: tuple[str, ...] = address_list(default=())
-    links_inside: int = integer(1, 64, default=3)
-    links_across: int = integer(0, 64, default=2)
+    links_inside: int = integer(1, 64, default=2)
+    links_across: int = integer(0, 64, default=1)
+    links_regions: int = integer(0, 64, default=1)
     readers: int = integer(1, 64, default=2)
     poll_ms: int = integer(20, 60_000, default=200)
     heartbeat_ms: int = integer(20, 60_000, default=1000)
+    suspect_after_ms: int = integer(100, 600_000, default=3000)
+    dead_after_ms: int = integer(100, 600_000, default=4000)
     anti_entropy_ms: int = integer(50, 600_000, default=5000)
 
 
--- a/packages/node/src/gentianlink/node/admin.py
+++ b/packages/node/src/gentianlink/node/admin.py
@@ -9,8 +9,7 @@
 
 from gentianlink.core.announcement import Announcement
 from gentianlink.core.codec import decode
-from gentianlink.core.errors import CodecError
-from gentianlink.core.target_state import TargetState
+from gentianlink.core.errors import AnnouncementInvalid, CodecError
 from gentianlink.node.clock import get_monotonic_ms
 
 STATUS_BAD_REQUEST = 400
@@ -34,12 +33,11 @@
         """Take in an announcement or a heartbeat."""
         try:
             announcement = decode(self.request.body, Announcement)
-            TargetState(announcement.state)
-        except (CodecError, ValueError) as error:
+            self._node.local_targets.announce(announcement, get_monotonic_ms())
+        except (CodecError, AnnouncementInvalid) as error:
             self.set_status(STATUS_BAD_REQUEST)
-            self.write_json({"error": str(error)})
+            self.write_json({"error": str(error), "type": type(error).__name__})
             return
-        self._node.local_targets.announce(announcement, get_monotonic_ms())
         self.write_json({"version": self._node.applied.version})
 
 
@@ -48,7 +46,7 @@
 
     def delete(self, target_id):
         """Take in that a target has left."""
-        self._node.local_targets.remove(target_id)
+        self._node.local_targets.remove(target_id, get_monotonic_ms())
         self.write_json({})
 
 
--- a/packages/node/src/gentianlink/node/membership.py
+++ b/packages/node/src/gentianlink/node/membership.py
@@ -1,36 +1,72 @@
 """What this node knows of other nodes and of their targets."""
 
+import attrs
+
 from gentianlink.core.node_state import NodeState
+from gentianlink.core.target_record import TargetRecord
+from gentianlink.core.target_state import TargetState
+from gentianlink.node.record_buckets import RecordBuckets
 from gentianlink.ops.membership import (
+    LIVE_STATES,
     compute_node_order,
-    compute_record_hash,
     compute_target_order,
     is_newer,
+    refute,
 )
 
+DEAD_AFTER_MS = 4000
+RECENTLY_DEAD_MS = 60_000
+TOMBSTONE_MS = 24 * 3600 * 1000
+REFUTATION_PERIOD_MS = 200
+REFUTATION_FIRST_MS = float("-inf")
+
 
 class Membership:
     """Records of nodes and targets, each the latest statement heard.
 
+    A target's record is held only under a record of its node of the same incarnation,
+    so the targets of a former incarnation vanish with it.
+
     Parameters
     ----------
     own_record : NodeRecord
         Record of this node.
     on_changed : callable
-        Called with the nodes and targets whose records changed.
+        Called with the nodes and targets whose records changed, and the source.
+    dead_after_ms : int, optional
+        Time in milliseconds after which a suspect that did not refute is dead.
     """
 
-    def __init__(self, own_record, on_changed):
+    def __init__(self, own_record, on_changed, dead_after_ms=DEAD_AFTER_MS):
         self._own_record = own_record
         self._on_changed = on_changed
+        self._dead_after_ms = dead_after_ms
         self._nodes = {own_record.node_id: own_record}
         self._targets = {}
-        self._digest = compute_record_hash(own_record)
+        self._targets_by_node = {}
+        self._targets_by_service = {}
+        self._buckets = RecordBuckets()
+        self._buckets.add_node(own_record)
+        self._doubted_ms = {}
+        self._grace = set()
+        self._recently_dead = {}
+        self._tombstones = {}
+        self._target_tombstones = {}
+        self._sequence = 0
+        self._heard_of_self = None
+        self._refuted_ms = REFUTATION_FIRST_MS
+        self._has_left = False
+        self._view_changes = 0
+
+    @property
+    def buckets(self):
+        """Digests over the records of live nodes and their targets."""
+        return self._buckets
 
     @property
     def digest(self):
-        """Digest of all records; equal for equal sets of records."""
-        return self._digest
+        """Digest of all live records; equal for equal sets of records."""
+        return self._buckets.digest
 
     @property
     def own_record(self):
@@ -44,15 +80,42 @@
 
     @property
     def targets(self):
-        """Records of targets by service and name."""
+        """Records of targets by node, service and name."""
         return self._targets
 
+    @property
+    def grace(self):
+        """Names of dead nodes that still have time to refute."""
+        return self._grace
+
+    @property
+    def recently_dead(self):
+        """Names of nodes that died a short time ago, with the times."""
+        return self._recently_dead
+
+    @property
+    def view_changes(self):
+        """How often the set of live nodes changed."""
+        return self._view_changes
+
     def get_live_nodes(self):
         """Return the records of nodes that take part in the mesh."""
-        states = (NodeState.ALIVE, NodeState.SUSPECT)
-        return [record for record in self._nodes.values() if record.state in states]
+        return [node for node in self._nodes.values() if node.state in LIVE_STATES]
+
+    def get_dead_nodes(self):
+        """Return the records of nodes that were declared dead."""
+        dead = (self._nodes[node_id] for node_id in self._tombstones)
+        return [node for node in dead if node.state is NodeState.DEAD]
+
+    def get_targets_of_node(self, node_id):
+        """Return the records of the targets beside a node."""
+        return list(self._targets_by_node.get(node_id, {}).values())
 
-    def merge(self, nodes, targets, source=None):
+    def get_targets_of_service(self, service):
+        """Return the records of the targets of a service."""
+        return list(self._targets_by_service.get(service, {}).values())
+
+    def merge(self, nodes, targets, now_ms, source=None):
         """Take in statements and report those that were news.
 
         Parameters
@@ -61,38 +124,293 @@
             Statements about nodes.
         targets : iterable of TargetRecord
             Statements about targets.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
         source : str, optional
             Node that the statements came from.
 
         Returns
         -------
-        bool
-            True if any statement was news.
+        list of NodeRecord or TargetRecord
+            Later statements that this node holds in place of outdated ones.
         """
-        new_nodes = [record for record in nodes if self._merge_node(record)]
-        new_targets = [record for record in targets if self._merge_target(record)]
+        later = []
+        new_nodes = [
+            record for record in nodes if self._merge_node(record, now_ms, later)
+        ]
+        new_targets = [
+            record for record in targets if self._merge_target(record, now_ms, later)
+        ]
         if new_nodes or new_targets:
             self._on_changed(new_nodes, new_targets, source)
-        return bool(new_nodes or new_targets)
+        self._refute_if_due(now_ms)
+        return later
 
-    def _merge_node(self, record):
+    def _merge_node(self, record, now_ms, later):
+        if record.node_id == self._own_record.node_id and record != self._own_record:
+            return self._hear_of_self(record, later)
         known = self._nodes.get(record.node_id)
+        if record == known:
+            return False
         if not is_newer(known, record, compute_node_order):
+            later.append(known)
             return False
-        self._replace(self._nodes, record.node_id, record)
+        self._replace_node(known, record, now_ms)
         return True
 
-    def _merge_target(self, record):
-        key = (record.service, record.target_id)
+    def _hear_of_self(self, record, later):
+        if refute(self._own_record, record) is self._own_record:
+            later.append(self._own_record)
+        elif self._heard_of_self is None or is_newer(
+            self._heard_of_self, record, compute_node_order
+        ):
+            self._heard_of_self = record
+        return False
+
+    def _replace_node(self, known, record, now_ms):
+        node_id = record.node_id
+        if known is not None:
+            self._buckets.remove_node(known)
+            if known.incarnation != record.incarnation:
+                self._drop_targets(node_id)
+        was_live = known is not None and known.state in LIVE_STATES
+        is_live = record.state in LIVE_STATES
+        self._nodes[node_id] = record
+        self._view_changes += was_live != is_live
+        if is_live:
+            self._buckets.add_node(record)
+        if was_live != is_live:
+            self._count_targets(node_id, is_live)
+        self._note_state(record, now_ms)
+
+    def _note_state(self, record, now_ms):
+        node_id = record.node_id
+        if record.state is NodeState.ALIVE:
+            self._doubted_ms.pop(node_id, None)
+        else:
+            self._doubted_ms.setdefault(node_id, now_ms)
+        self._tombstones.pop(node_id, None)
+        self._recently_dead.pop(node_id, None)
+        self._grace.discard(node_id)
+        if record.state in LIVE_STATES:
+            return
+        self._tombstones[node_id] = now_ms
+        if record.state is NodeState.DEAD:
+            self._recently_dead[node_id] = now_ms
+            if now_ms < self._doubted_ms[node_id] + self._dead_after_ms:
+                self._grace.add(node_id)
+
+    def _count_targets(self, node_id, is_live):
+        for record in self.get_targets_of_node(node_id):
+            if not is_live:
+                self._buckets.remove_target(record)
+            elif record.state is not TargetState.LEFT:
+                self._buckets.add_target(record)
+
+    def _drop_targets(self, node_id):
+        for record in self.get_targets_of_node(node_id):
+            self._forget_target(record)
+
+    def _forget_target(self, record):
+        key = (record.node_id, record.service, record.target_id)
+        self._buckets.remove_target(record)
+        self._targets.pop(key)
+        self._target_tombstones.pop(key, None)
+        for index, name in (
+            (self._targets_by_node, record.node_id),
+            (self._targets_by_service, record.service),
+        ):
+            index[name].pop(key)
+            if not index[name]:
+                del index[name]
+
+    def _merge_target(self, record, now_ms, later):
+        key = (record.node_id, record.service, record.target_id)
         known = self._targets.get(key)
-        if not is_newer(known, record, compute_target_order):
+        if record == known:
+            return False
+        if known is not None and not is_newer(known, record, compute_target_order):
+            later.append(known)
+            return False
+        node = self._nodes.get(record.node_id)
+        if node is None or node.incarnation > record.incarnation:
+            later.extend([node] if node else [])
+            return False
+        if node.incarnation < record.incarnation:
             return False
-        self._replace(self._targets, key, record)
+        if record.node_id == self._own_record.node_id:
+            return self._deny_own_target(record, now_ms)
+        self._store_target(key, record, now_ms)
         return True
 
-    def _replace(self, records, key, record):
-        known = records.get(key)
+    def _deny_own_target(self, record, now_ms):
+        known = self._targets.get((record.node_id, record.service, record.target_id))
+        state = TargetState.LEFT if known is None else known.state
+        slots = 0 if known is None else known.slots
+        self._sequence = max(self._sequence, record.sequence)
+        self.publish_target(record.service, record.target_id, state, slots, now_ms)
+        return False
+
+    def _store_target(self, key, record, now_ms):
+        known = self._targets.get(key)
         if known is not None:
-            self._digest ^= compute_record_hash(known)
-        self._digest ^= compute_record_hash(record)
-        records[key] = record
+            self._forget_target(known)
+        self._targets[key] = record
+        self._targets_by_node.setdefault(record.node_id, {})[key] = record
+        self._targets_by_service.setdefault(record.service, {})[key] = record
+        if record.state is TargetState.LEFT:
+            self._target_tombstones[key] = now_ms
+        elif self._nodes[record.node_id].state in LIVE_STATES:
+            self._buckets.add_target(record)
+
+    def publish_target(self, service, target_id, state, slots, now_ms):
+        """State something about a target beside this node.
+
+        Parameters
+        ----------
+        service : str
+            Service of the target.
+        target_id : str
+            Name of the target.
+        state : TargetState
+            Its state.
+        slots : int
+            Calls that it executes at once.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        own = self._own_record
+        self._sequence += 1
+        record = TargetRecord(
+            service,
+            target_id,
+            own.node_id,
+            own.incarnation,
+            self._sequence,
+            state,
+            slots,
+        )
+        key = (own.node_id, service, target_id)
+        self._store_target(key, record, now_ms)
+        self._on_changed([], [record], None)
+
+    def suspect(self, node_id, now_ms):
+        """State that a node does not answer, neither here nor through others.
+
+        Parameters
+        ----------
+        node_id : str
+            Name of the node.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        known = self._nodes.get(node_id)
+        if known is None or known.state is not NodeState.ALIVE:
+            return
+        self.merge([attrs.evolve(known, state=NodeState.SUSPECT)], [], now_ms)
+
+    def restate(self, now_ms):
+        """State again that this node is alive, such as after it was paused.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        own = self._own_record
+        self._state_self(attrs.evolve(own, sequence=own.sequence + 1), now_ms)
+
+    def leave(self, now_ms):
+        """State that this node takes no further part.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        own = self._own_record
+        left = attrs.evolve(own, sequence=own.sequence + 1, state=NodeState.LEFT)
+        self._state_self(left, now_ms)
+        self._has_left = True
+
+    def _state_self(self, record, now_ms):
+        known = self._own_record
+        self._own_record = record
+        self._replace_node(known, record, now_ms)
+        self._on_changed([record], [], None)
+
+    def _refute_if_due(self, now_ms):
+        heard = self._heard_of_self
+        if heard is None or self._has_left:
+            return
+        if now_ms < self._refuted_ms + REFUTATION_PERIOD_MS:
+            return
+        self._heard_of_self = None
+        self._refuted_ms = now_ms
+        self._state_self(refute(self._own_record, heard), now_ms)
+
+    def check(self, now_ms):
+        """Do what the passing of time asks for.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        list of NodeRecord
+            Nodes whose endpoints are to be judged anew.
+        """
+        self._refute_if_due(now_ms)
+        self._declare_dead(now_ms)
+        judged = self._end_grace(now_ms)
+        self._forget_tombstones(now_ms)
+        return judged
+
+    def _declare_dead(self, now_ms):
+        dead = [
+            attrs.evolve(self._nodes[node_id], state=NodeState.DEAD)
+            for node_id, since_ms in self._doubted_ms.items()
+            if now_ms >= since_ms + self._dead_after_ms
+            and self._nodes[node_id].state is NodeState.SUSPECT
+        ]
+        if dead:
+            self.merge(dead, [], now_ms)
+
+    def _end_grace(self, now_ms):
+        ended = [
+            node_id
+            for node_id in self._grace
+            if now_ms >= self._doubted_ms[node_id] + self._dead_after_ms
+        ]
+        self._grace.difference_update(ended)
+        for node_id, since_ms in list(self._recently_dead.items()):
+            if now_ms >= since_ms + RECENTLY_DEAD_MS:
+                del self._recently_dead[node_id]
+                ended.append(node_id)
+        return [self._nodes[node_id] for node_id in ended]
+
+    def _forget_tombstones(self, now_ms):
+        for node_id, since_ms in list(self._tombstones.items()):
+            if now_ms < since_ms + TOMBSTONE_MS or node_id == self._own_record.node_id:
+                continue
+            self._drop_targets(node_id)
+            del self._tombstones[node_id]
+            self._doubted_ms.pop(node_id, None)
+            del self._nodes[node_id]
+        for key, since_ms in list(self._target_tombstones.items()):
+            if now_ms >= since_ms + TOMBSTONE_MS:
+                self._forget_target(self._targets[key])
+
+    def shift_timers(self, gap_ms):
+        """Give suspects and the newly dead more time after this node was paused.
+
+        Parameters
+        ----------
+        gap_ms : float
+            Length of the pause in milliseconds.
+        """
+        for times in (self._doubted_ms, self._recently_dead):
+            for node_id in times:
+                times[node_id] += gap_ms
--- a/packages/node/src/gentianlink/node/mesh/convert.py
+++ b/packages/node/src/gentianlink/node/mesh/convert.py
@@ -8,6 +8,9 @@
 from gentianlink.node.mesh import mesh_pb2
 
 MAX_PORT = 65535
+MAX_RECORDS = 1024
+MAX_NAME_CHARACTERS = 128
+MAX_NUMBER = 2**53
 
 
 def encode_node(record):
@@ -32,11 +35,14 @@
     Raises
     ------
     CodecError
-        If the message has no name, an unknown state or an impossible port.
+        If the message has an impossible name, number, state or port.
     """
     ports = (message.call_port, message.mesh_port, message.admin_port)
-    if not message.node_id or not all(0 < port <= MAX_PORT for port in ports):
+    if not all(0 < port <= MAX_PORT for port in ports):
         raise CodecError("not a node record")
+    names = (message.node_id, message.region, message.data_centre, message.address)
+    _validate_names(names)
+    _validate_numbers(message)
     try:
         state = NodeState(message.state)
     except ValueError as error:
@@ -74,10 +80,10 @@
     Raises
     ------
     CodecError
-        If the message lacks a name or has an unknown state.
+        If the message has an impossible name, number or state.
     """
-    if not (message.service and message.target_id and message.node_id):
-        raise CodecError("not a target record")
+    _validate_names((message.service, message.target_id, message.node_id))
+    _validate_numbers(message)
     try:
         state = TargetState(message.state)
     except ValueError as error:
@@ -93,6 +99,38 @@
     )
 
 
+def _validate_names(names):
+    if not all(0 < len(name) <= MAX_NAME_CHARACTERS for name in names):
+        raise CodecError("not the name of a record")
+
+
+def _validate_numbers(message):
+    if max(message.incarnation, message.sequence) >= MAX_NUMBER:
+        raise CodecError("not the order of a record")
+
+
+def decode_records(message):
+    """Return the records of a message.
+
+    Returns
+    -------
+    nodes : list of NodeRecord
+        Records of nodes.
+    targets : list of TargetRecord
+        Records of targets.
+
+    Raises
+    ------
+    CodecError
+        If there are too many records or one of them is malformed.
+    """
+    if len(message.nodes) + len(message.targets) > MAX_RECORDS:
+        raise CodecError("too many records")
+    nodes = [decode_node(record) for record in message.nodes]
+    targets = [decode_target(record) for record in message.targets]
+    return nodes, targets
+
+
 def encode_records(nodes, targets):
     """Return the frame for records of nodes and targets."""
     records = mesh_pb2.Records(
--- a/packages/node/src/gentianlink/node/mesh/dialer.py
+++ b/packages/node/src/gentianlink/node/mesh/dialer.py
@@ -1,14 +1,17 @@
-"""The opening side of links: one task for each neighbour that this node chose."""
+"""The opening side of links: one task for each address that this node dials."""
 
 import asyncio
 import random
 
+import attrs
 import grpc
 
-from gentianlink.core.errors import CodecError
+from gentianlink.core.errors import CodecError, LinkRefused
+from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2_grpc
 from gentianlink.node.mesh.link import Link
+from gentianlink.node.mesh.link_end import LinkEnd
 
 _LOG = get_logger("mesh")
 
@@ -18,6 +21,9 @@
 ]
 BACKOFF_FIRST_MS = 50
 BACKOFF_MAX_MS = 2000
+HELLO_TIMEOUT_S = 2.0
+LAST_FRAMES_S = 1.0
+CONNECTED_POLL_S = 0.5
 
 
 def compute_backoff_ms(attempt, rng=random):
@@ -39,41 +45,126 @@
     return rng.uniform(0, bound)
 
 
-async def run_dialer(mesh, address):
-    """Keep a link to one address open until cancelled.
+@attrs.frozen
+class DialPlan:
+    """Whom a dialer opens a link to.
+
+    Attributes
+    ----------
+    address : str
+        ``address:port`` of the neighbour.
+    node_id : str or None
+        Name of the neighbour, None if it is not known.
+    on_unreachable : callable or None
+        Called with the name after an attempt that reached nobody.
+    on_full : callable or None
+        Called with the name and the time if the neighbour has too many links.
+    """
+
+    address: str
+    node_id: str | None = None
+    on_unreachable: object = None
+    on_full: object = None
+
+
+async def run_dialer(mesh, plan):
+    """Keep a link open until cancelled.
+
+    While there is a link to the neighbour, whoever opened it, nothing is dialled.
 
     Parameters
     ----------
     mesh : Mesh
         Links of this node.
-    address : str
-        ``address:port`` of the neighbour.
+    plan : DialPlan
+        Whom to open a link to.
     """
     attempt = 0
     while True:
-        opened = await _dial_once(mesh, address)
-        attempt = 0 if opened else attempt + 1
+        if plan.node_id in mesh.links:
+            attempt = 0
+            await asyncio.sleep(CONNECTED_POLL_S)
+            continue
+        end = await _dial_once(mesh, plan)
+        attempt = attempt + 1 if _is_failure(end) else 0
+        if end is None:
+            plan.on_unreachable(plan.node_id)
+        if end is LinkEnd.FULL:
+            plan.on_full(plan.node_id, get_monotonic_ms())
         await asyncio.sleep(compute_backoff_ms(attempt) / 1000)
 
 
-async def _dial_once(mesh, address):
-    link = Link("")
+async def run_temporary_link(mesh, plan):
+    """Open a link once, to exchange records, until it ends or is cancelled.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links of this node.
+    plan : DialPlan
+        Whom to open a link to.
+    """
+    await _dial_once(mesh, plan)
+
+
+def _is_failure(end):
+    return end in (None, LinkEnd.FULL, LinkEnd.SELF, LinkEnd.MALFORMED, LinkEnd.FLOOD)
+
+
+async def _dial_once(mesh, plan):
+    link = Link("", is_dialled=True)
     opened = False
-    async with grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS) as channel:
+    async with grpc.aio.insecure_channel(
+        plan.address, options=CHANNEL_OPTIONS
+    ) as channel:
         stub = mesh_pb2_grpc.MeshStub(channel)
         try:
-            frames = stub.Link(_send_frames(mesh, link)).__aiter__()
-            hello = await anext(frames)
+            stream = stub.Link(_send_frames(mesh, plan, link))
+            frames = stream.__aiter__()
+            hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
             opened = True
-            await mesh.run_link(hello, frames, link)
-        except (grpc.RpcError, CodecError, StopAsyncIteration) as error:
-            _LOG.debug("link failed", address=address, why=type(error).__name__)
+            await _run_until_closed(mesh, hello, frames, link)
+        except LinkRefused as error:
+            link.refuse(error.reason)
+            await asyncio.sleep(0)
+        except CodecError as error:
+            _LOG.warning("link refused", address=plan.address, why=str(error))
+            link.close(LinkEnd.MALFORMED)
+        except (grpc.RpcError, StopAsyncIteration, TimeoutError) as error:
+            _LOG.debug("link failed", address=plan.address, why=type(error).__name__)
         finally:
-            link.close()
-    return opened
-
-
-async def _send_frames(mesh, link):
-    yield mesh.make_hello()
+            link.close(LinkEnd.NOT_CHOSEN if opened else LinkEnd.STREAM_ENDED)
+    return link.end if opened else None
+
+
+async def _run_until_closed(mesh, hello, frames, link):
+    reader = asyncio.create_task(_read_link(mesh, hello, frames, link))
+    closed = asyncio.create_task(link.wait_closed())
+    try:
+        await asyncio.wait([reader, closed], return_when=asyncio.FIRST_COMPLETED)
+        if not reader.done() and link.end.is_orderly:
+            await asyncio.wait([reader], timeout=LAST_FRAMES_S)
+        if reader.done():
+            reader.result()
+    except asyncio.CancelledError:
+        link.refuse(LinkEnd.NOT_CHOSEN)
+        await asyncio.wait([reader], timeout=LAST_FRAMES_S)
+        raise
+    finally:
+        closed.cancel()
+        if not reader.done():
+            reader.cancel()
+            await asyncio.wait([reader])
+
+
+async def _read_link(mesh, hello, frames, link):
+    try:
+        await mesh.run_link(hello, frames, link)
+    except grpc.RpcError:
+        link.close()
+
+
+async def _send_frames(mesh, plan, link):
+    yield mesh.make_hello(is_joining=plan.node_id is None)
     async for frame in link.read_frames():
         yield frame
--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -1,15 +1,21 @@
 """The links of a node, and to which part each frame goes."""
 
-from gentianlink.core.errors import CatalogueError, CodecError
+import random
+
+from gentianlink.core.errors import CatalogueError, CodecError, LinkRefused
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2
 from gentianlink.node.mesh.convert import decode_node, encode_node
+from gentianlink.node.mesh.frame_budget import FrameBudget
+from gentianlink.node.mesh.link_end import LinkEnd
 from gentianlink.node.mesh.record_exchange import RecordExchange
 from gentianlink.node.mesh.version_exchange import VersionExchange
 
 _LOG = get_logger("mesh")
 
+MAX_ACCEPTED_LINKS = 24
+
 
 class Mesh:
     """Links to neighbours, over which versions and records spread.
@@ -23,15 +29,22 @@
     """
 
     def __init__(self, applied, membership):
-        self._versions = VersionExchange(applied)
-        self._records = RecordExchange(membership)
         self._links = {}
+        self._versions = VersionExchange(applied)
+        self._records = RecordExchange(membership, self._links)
+        self._on_link_lost = None
+        self._sent_bytes = 0
+        self._received_bytes = 0
         self._handlers = {
             "have": self._handle_have,
             "fetch": self._handle_fetch,
             "content": self._versions.handle_content,
             "records": self._records.handle_records,
             "heartbeat": self._handle_heartbeat,
+            "record_digests": self._records.handle_digests,
+            "record_hashes": self._records.handle_hashes,
+            "record_request": self._records.handle_request,
+            "refusal": self._handle_refusal,
         }
 
     @property
@@ -39,10 +52,47 @@
         """Links by name of the neighbour."""
         return self._links
 
-    def make_hello(self):
-        """Return the first frame of a stream."""
-        node = encode_node(self._records.own_record)
-        hello = mesh_pb2.Hello(node=node, version=self._versions.version)
+    @property
+    def sent_bytes(self):
+        """Bytes of the frames sent over all links so far."""
+        return self._sent_bytes + sum(link.sent_bytes for link in self._links.values())
+
+    @property
+    def received_bytes(self):
+        """Bytes of the frames received over all links so far."""
+        return self._received_bytes
+
+    def add_handler(self, kind, handler):
+        """Add what is done with a kind of frame.
+
+        Parameters
+        ----------
+        kind : str
+            Name of the frame's field.
+        handler : callable
+            Takes the message and the link.
+        """
+        self._handlers[kind] = handler
+
+    def set_on_link_lost(self, on_link_lost):
+        """Set what is called with the name of a neighbour whose link was lost."""
+        self._on_link_lost = on_link_lost
+
+    def make_hello(self, is_joining=False):
+        """Return the first frame of a stream.
+
+        Parameters
+        ----------
+        is_joining : bool, optional
+            Whether the link is only for joining.
+        """
+        hello = mesh_pb2.Hello(
+            node=encode_node(self._records.own_record),
+            version=self._versions.version,
+            records_digest=self._records.digest,
+            records=self._records.count,
+            is_joining=is_joining,
+        )
         return mesh_pb2.Frame(hello=hello)
 
     async def run_link(self, hello_frame, frames, link):
@@ -56,34 +106,85 @@
             Further frames of the neighbour.
         link : Link
             Sending side of the stream.
+
+        Raises
+        ------
+        LinkRefused
+            If there should be no link to this neighbour.
+        CodecError
+            If the first frame is malformed.
         """
         record = decode_node(hello_frame.hello.node)
-        link.peer_id = record.node_id
-        link.version = hello_frame.hello.version
-        self._links[link.peer_id] = link
-        _LOG.info("link opened", peer=link.peer_id)
-        self._records.open_link(record, link)
+        now_ms = get_monotonic_ms()
+        self._admit(record, hello_frame.hello, link, now_ms)
+        _LOG.info("link opened", peer=link.peer_id, dialled=link.is_dialled)
+        self._records.open_link(record, hello_frame.hello, link, now_ms)
         self._versions.open_link(link)
+        budget = FrameBudget(now_ms)
         try:
             async for frame in frames:
-                self._handle(frame, link)
+                self._handle(frame, link, budget)
+                if link.is_closed:
+                    break
         finally:
             link.close()
-            if self._links.get(link.peer_id) is link:
-                del self._links[link.peer_id]
-            _LOG.info("link closed", peer=link.peer_id)
+            self._remove(link)
+
+    def _admit(self, record, hello, link, now_ms):
+        link.peer_id = record.node_id
+        link.version = hello.version
+        link.is_joining = hello.is_joining
+        link.heard_ms = now_ms
+        if record.node_id == self._records.own_record.node_id:
+            raise LinkRefused(LinkEnd.SELF)
+        known = self._links.get(record.node_id)
+        if known is not None and not self._replaces(link, known):
+            raise LinkRefused(LinkEnd.DUPLICATE)
+        if known is None and not link.is_dialled and self._is_full():
+            raise LinkRefused(LinkEnd.FULL)
+        self._links[record.node_id] = link
+        if known is not None:
+            self._sent_bytes += known.sent_bytes
+            known.refuse(LinkEnd.DUPLICATE)
 
-    def _handle(self, frame, link):
+    def _replaces(self, link, known):
+        if link.is_dialled == known.is_dialled:
+            return True
+        own_is_first = self._records.own_record.node_id < link.peer_id
+        return link.is_dialled == own_is_first
+
+    def _is_full(self):
+        accepted = [link for link in self._links.values() if not link.is_dialled]
+        return len(accepted) >= MAX_ACCEPTED_LINKS
+
+    def _remove(self, link):
+        _LOG.info("link closed", peer=link.peer_id, why=link.end.value)
+        if self._links.get(link.peer_id) is not link:
+            return
+        del self._links[link.peer_id]
+        self._sent_bytes += link.sent_bytes
+        self._records.close_link(link)
+        if self._on_link_lost is not None and not link.end.is_orderly:
+            self._on_link_lost(link.peer_id)
+
+    def _handle(self, frame, link, budget):
         link.heard_ms = get_monotonic_ms()
+        self._received_bytes += frame.ByteSize()
+        if not budget.take(link.heard_ms):
+            _LOG.warning("too many frames", peer=link.peer_id)
+            link.refuse(LinkEnd.FLOOD)
+            return
         kind = frame.WhichOneof("body")
         handler = self._handlers.get(kind)
         if handler is None:
-            _LOG.warning("frame of unknown kind", peer=link.peer_id, kind=kind)
+            _LOG.debug("frame of unknown kind", peer=link.peer_id, kind=kind)
             return
         try:
             handler(getattr(frame, kind), link)
         except (CodecError, CatalogueError) as error:
             _LOG.warning("frame refused", peer=link.peer_id, kind=kind, why=str(error))
+            if isinstance(error, CodecError) and not budget.take_malformed():
+                link.refuse(LinkEnd.MALFORMED)
 
     def _handle_have(self, have, link):
         self._versions.handle_have(have.version, link)
@@ -92,16 +193,44 @@
         self._versions.handle_fetch(fetch.version, link)
 
     def _handle_heartbeat(self, heartbeat, link):
+        link.records_digest = heartbeat.records_digest
         self._versions.handle_have(heartbeat.version, link)
-        self._records.handle_digest(heartbeat.records_digest, link)
+
+    def _handle_refusal(self, refusal, link):
+        try:
+            end = LinkEnd(refusal.reason)
+        except ValueError:
+            end = LinkEnd.STREAM_ENDED
+        _LOG.info("link refused by neighbour", peer=link.peer_id, why=end.value)
+        link.close(end)
 
     def spread_version(self):
         """Send the version in force to the neighbours that lack it."""
         self._versions.spread(list(self._links.values()))
 
     def spread_records(self, nodes, targets, source):
-        """Send news about nodes and targets to all neighbours but the source."""
-        self._records.spread(list(self._links.values()), nodes, targets, source)
+        """Send news about nodes and targets to the neighbours that may lack them."""
+        self._records.spread(nodes, targets, source, get_monotonic_ms())
+
+    def flush_records(self):
+        """Send the news about nodes and targets that wait."""
+        self._records.flush()
+
+    def compare_records(self, rng=random):
+        """Compare records with one neighbour whose digest differs, if there is one.
+
+        Parameters
+        ----------
+        rng : random.Random, optional
+            Source of randomness.
+        """
+        differing = [
+            link
+            for link in self._links.values()
+            if link.records_digest != self._records.digest
+        ]
+        if differing:
+            self._records.compare(rng.choice(differing))
 
     def send_heartbeats(self):
         """Send a heartbeat on every link."""
@@ -111,3 +240,27 @@
         frame = mesh_pb2.Frame(heartbeat=heartbeat)
         for link in list(self._links.values()):
             link.send(frame)
+
+    def close_silent_links(self, now_ms, silent_ms):
+        """Give up the links on which nothing was heard for too long.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        silent_ms : float
+            Bound in milliseconds.
+        """
+        for link in list(self._links.values()):
+            if now_ms >= link.heard_ms + silent_ms:
+                link.close(LinkEnd.SILENT)
+
+    def touch_links(self, now_ms):
+        """Count all links as just heard, such as after this node was paused."""
+        for link in self._links.values():
+            link.heard_ms = now_ms
+
+    def close(self):
+        """Give up all links because this node stops."""
+        for link in list(self._links.values()):
+            link.refuse(LinkEnd.STOPPING)
--- /dev/null
+++ b/packages/node/src/gentianlink/node/mesh/probe_result.py
@@ -0,0 +1,11 @@
+"""Results of a probe."""
+
+import enum
+
+
+class ProbeResult(enum.Enum):
+    """Whether a probed node answered."""
+
+    ALIVE = "alive"
+    REFUSED = "refused"
+    SILENT = "silent"
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -1,17 +1,25 @@
 """The accepting side of links."""
 
+import asyncio
+
 import grpc
 
-from gentianlink.core.errors import CodecError
+from gentianlink.core.errors import CodecError, LinkRefused
 from gentianlink.node.background import start_task
-from gentianlink.node.mesh import mesh_pb2_grpc
+from gentianlink.node.log import get_logger
+from gentianlink.node.mesh import mesh_pb2, mesh_pb2_grpc
 from gentianlink.node.mesh.link import Link
+from gentianlink.node.mesh.link_end import LinkEnd
+
+_LOG = get_logger("mesh")
 
 SHUTDOWN_GRACE_S = 0.2
+LAST_FRAMES_S = 1.0
+HELLO_TIMEOUT_S = 5.0
 
 
 class MeshServicer(mesh_pb2_grpc.MeshServicer):
-    """Serves the links that other nodes open.
+    """Serves the links that other nodes open, and probes.
 
     Parameters
     ----------
@@ -36,18 +44,47 @@
         await context.write(self._mesh.make_hello())
         frames = request_iterator.__aiter__()
         reader = start_task(_read_link(self._mesh, frames, link), "mesh reader")
+        writer = start_task(_write_link(context, link), "mesh writer")
         try:
-            async for frame in link.read_frames():
-                await context.write(frame)
+            await link.wait_closed()
+            if link.end.is_orderly:
+                await asyncio.wait([writer], timeout=LAST_FRAMES_S)
         finally:
             reader.cancel()
+            writer.cancel()
+
+    async def Probe(self, request, context):  # noqa: N802
+        """Answer that this node is alive.
+
+        Parameters
+        ----------
+        request : mesh_pb2.ProbeRequest
+            The probe.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        return mesh_pb2.ProbeAnswer(node=self._mesh.make_hello().hello.node)
 
 
 async def _read_link(mesh, frames, link):
     try:
-        hello = await anext(frames)
+        hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
         await mesh.run_link(hello, frames, link)
-    except (StopAsyncIteration, CodecError, grpc.RpcError):
+    except LinkRefused as error:
+        _LOG.info("link refused", peer=link.peer_id, why=str(error))
+        link.refuse(error.reason)
+    except CodecError as error:
+        _LOG.warning("link refused", why=str(error))
+        link.refuse(LinkEnd.MALFORMED)
+    except (StopAsyncIteration, TimeoutError, grpc.RpcError):
+        link.close()
+
+
+async def _write_link(context, link):
+    try:
+        async for frame in link.read_frames():
+            await context.write(frame)
+    except grpc.RpcError:
         link.close()
 
 
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,11 +1,11 @@
 """Put the parts of a node together, run them, and stop them gracefully."""
 
 import asyncio
+import random
 
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
-from gentianlink.core.routing_table import RoutingTable
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
@@ -13,7 +13,10 @@
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
+from gentianlink.node.mesh.dialer import compute_backoff_ms
+from gentianlink.node.mesh.failure_detector import FailureDetector
 from gentianlink.node.mesh.mesh import Mesh
+from gentianlink.node.mesh.monitor import TICK_MS, Monitor
 from gentianlink.node.mesh.server import start_mesh_server
 from gentianlink.node.mesh.topology import Topology
 from gentianlink.node.metrics import NodeMetrics
@@ -25,16 +28,19 @@
 from gentianlink.node.proxy.local_targets import LocalTargets
 from gentianlink.node.proxy.router import Router
 from gentianlink.node.proxy.server import CallServer
-from gentianlink.ops.build_table import build_table
+from gentianlink.node.table_builder import TableBuilder
 from gentianlink.platform.catalogue_store import CatalogueStore
-from gentianlink.platform.names import NODE_PREFIX, get_node_key
+from gentianlink.platform.node_rows import read_node_addresses, write_node_address
 from gentianlink.platform.object_client import ObjectClient
 from gentianlink.platform.table_client import TableClient
 
 _LOG = get_logger("node")
 
 EXPIRE_PERIOD_S = 0.2
-JOIN_SCAN_ROWS = 64
+JOIN_ATTEMPTS_BEFORE_SCAN = 2
+MIN_JOIN_WAIT_MS = 50
+FIRST_ROW_PERIOD_MS = 30 * 1000
+ROW_PERIOD_MS = 30 * 60 * 1000
 
 
 class Node:
@@ -48,7 +54,6 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._table = RoutingTable()
         self._is_stopping = False
         self._tasks = []
         own_record = make_own_record(settings, get_now_ms())
@@ -56,9 +61,19 @@
         objects = ObjectClient.from_settings(settings.platform)
         store = CatalogueStore(self._platform_table, objects)
         self._applied = AppliedCatalogue(self._on_applied)
-        self._membership = Membership(own_record, self._on_records)
+        self._membership = Membership(
+            own_record, self._on_records, settings.mesh.dead_after_ms
+        )
+        self._table_builder = TableBuilder(self._membership)
         self._mesh = Mesh(self._applied, self._membership)
-        self._topology = Topology(self._mesh, self._membership, settings.mesh)
+        self._detector = FailureDetector(self._membership, self._mesh)
+        self._mesh.set_on_link_lost(self._examine)
+        self._topology = Topology(
+            self._mesh, self._membership, settings.mesh, self._examine
+        )
+        self._monitor = Monitor(
+            self._membership, self._mesh, settings.mesh, self._on_judged
+        )
         self._reader = HeadReader(store, self._applied, self._membership, settings.mesh)
         self._local_targets = LocalTargets(
             self._membership, settings.calls.target_lease_ms
@@ -87,7 +102,7 @@
 
     def get_table(self):
         """Return the current routing table."""
-        return self._table
+        return self._table_builder.get_table(self._applied.catalogue)
 
     def is_ready(self):
         """Return whether this node may serve calls."""
@@ -107,12 +122,17 @@
             nodes=len(self._membership.get_live_nodes()),
             endpoints={
                 prefix: len(route.endpoints)
-                for prefix, route in self._table.routes.items()
+                for prefix, route in self.get_table().routes.items()
             },
             in_flight=self._calls.in_flight,
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
+            records=self._membership.buckets.count,
+            records_digest=f"{self._membership.digest:016x}",
+            mesh_sent_bytes=self._mesh.sent_bytes,
+            mesh_received_bytes=self._mesh.received_bytes,
+            table_builds=self._table_builder.builds,
             platform_reads=self._platform_table.reads,
             platform_writes=self._platform_table.writes,
         )
@@ -122,18 +142,18 @@
         self._metrics.update(self.get_status())
 
     def _on_applied(self):
-        self._rebuild_table()
         self._mesh.spread_version()
         _LOG.info("version in force", version=self._applied.version)
 
     def _on_records(self, nodes, targets, source):
-        self._rebuild_table()
+        self._table_builder.mark_changed(nodes, targets)
         self._mesh.spread_records(nodes, targets, source)
 
-    def _rebuild_table(self):
-        self._table = build_table(
-            self._applied.catalogue, self._membership.nodes, self._membership.targets
-        )
+    def _on_judged(self, nodes):
+        self._table_builder.mark_changed(nodes, [])
+
+    def _examine(self, node_id):
+        self._detector.examine(node_id, get_monotonic_ms())
 
     async def run(self, stop_requested):
         """Run until asked to stop, then stop without cutting a call.
@@ -152,7 +172,7 @@
         for work in (
             self._reader.run(),
             self._run_topology(),
-            self._run_heartbeats(),
+            self._run_monitor(),
             self._run_expiry(),
             self._publish_own_row(),
         ):
@@ -163,37 +183,45 @@
 
     async def _stop(self, mesh_server):
         _LOG.info("node stopping")
-        self._local_targets.drain_all()
+        self._local_targets.drain_all(get_monotonic_ms())
         await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
         for task in self._tasks:
             task.cancel()
+        self._membership.leave(get_monotonic_ms())
+        self._mesh.flush_records()
+        self._mesh.close()
         self._topology.close()
         self._pool.close()
         await mesh_server.stop(0.1)
         _LOG.info("node stopped")
 
     async def _run_topology(self):
+        attempt = 0
         while True:
             addresses = ()
-            if not self._mesh.links:
+            attempt = 0 if self._mesh.links else attempt + 1
+            has_tried_seeds = attempt > JOIN_ATTEMPTS_BEFORE_SCAN
+            if attempt and (has_tried_seeds or not self._settings.mesh.seeds):
                 addresses = await self._find_addresses()
-            self._topology.update(addresses)
-            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+            self._topology.update(get_monotonic_ms(), addresses)
+            wait_ms = self._settings.mesh.heartbeat_ms
+            if not self._mesh.links:
+                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
+            await asyncio.sleep(wait_ms / 1000)
 
     async def _find_addresses(self):
         try:
-            rows = await self._platform_table.scan(NODE_PREFIX, limit=JOIN_SCAN_ROWS)
+            return await read_node_addresses(self._platform_table)
         except PlatformError:
             return ()
-        return tuple(row.value for row in rows)
 
-    async def _run_heartbeats(self):
+    async def _run_monitor(self):
         while True:
-            self._mesh.send_heartbeats()
-            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+            self._monitor.tick(get_monotonic_ms())
+            await asyncio.sleep(TICK_MS / 1000)
 
     async def _run_expiry(self):
         while True:
@@ -202,14 +230,22 @@
 
     async def _publish_own_row(self):
         own = self._membership.own_record
-        key = get_node_key(own.data_centre, own.node_id)
         address = f"{own.address}:{own.mesh_port}"
+        attempt = 0
+        period_ms = FIRST_ROW_PERIOD_MS
         while True:
             try:
-                await self._platform_table.transact([(key, address)])
-                return
+                await write_node_address(
+                    self._platform_table, own.data_centre, own.node_id, address
+                )
+                self._topology.add_candidates(await self._find_addresses())
+                wait_ms = random.uniform(0.5, 1.5) * period_ms
+                period_ms = ROW_PERIOD_MS
+                attempt = 0
             except PlatformError:
-                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
+                attempt += 1
+            await asyncio.sleep(wait_ms / 1000)
 
 
 def make_own_record(settings, now_ms):
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -31,6 +31,16 @@
         Calls that are being handled.
     outcomes : dict of str to int
         Numbers of calls by outcome.
+    records : int
+        Live records of nodes and targets.
+    records_digest : str
+        Digest of these records; equal on nodes with the same view.
+    mesh_sent_bytes : int
+        Bytes of the frames sent to other nodes.
+    mesh_received_bytes : int
+        Bytes of the frames received from other nodes.
+    table_builds : int
+        Routing tables built.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
@@ -48,5 +58,10 @@
     endpoints: dict[str, int]
     in_flight: int
     outcomes: dict[str, int]
+    records: int
+    records_digest: str
+    mesh_sent_bytes: int
+    mesh_received_bytes: int
+    table_builds: int
     platform_reads: int
     platform_writes: int
--- a/packages/node/src/gentianlink/node/proxy/gate.py
+++ b/packages/node/src/gentianlink/node/proxy/gate.py
@@ -44,6 +44,24 @@
         """Take no new work from now on."""
         self._is_draining = True
 
+    def resize(self, slots):
+        """Change the number of slots; calls that wait take those that are new.
+
+        Parameters
+        ----------
+        slots : int
+            Calls that the target executes at once from now on.
+        """
+        self._slots = slots
+        self._admit_waiting()
+
+    def _admit_waiting(self):
+        while self._waiting and self._in_flight < self._slots:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                self._in_flight += 1
+                waiter.set_result(None)
+
     async def enter(self, queue_limit, remaining_ms):
         """Take a slot, waiting in the queue if there is none.
 
@@ -100,12 +118,8 @@
         """
         if elapsed_ms:
             self._mean_ms += 0.1 * (elapsed_ms - self._mean_ms)
-        while self._waiting:
-            waiter = self._waiting.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
         self._in_flight -= 1
+        self._admit_waiting()
 
     def _estimate_wait_ms(self):
         return self._mean_ms * (len(self._waiting) + 1) / max(1, self._slots)
--- a/packages/node/src/gentianlink/node/proxy/local_target.py
+++ b/packages/node/src/gentianlink/node/proxy/local_target.py
@@ -22,6 +22,8 @@
         TCP port of the target.
     state : TargetState
         State that the target announced last.
+    slots : int
+        Calls that it executes at once.
     gate : Gate
         Its slots and queue.
     expires_ms : float
@@ -33,5 +35,6 @@
     address: str
     port: int
     state: TargetState
+    slots: int
     gate: Gate
     expires_ms: float
--- a/packages/node/src/gentianlink/node/proxy/local_targets.py
+++ b/packages/node/src/gentianlink/node/proxy/local_targets.py
@@ -1,9 +1,14 @@
 """The targets beside this node, as they announce themselves."""
 
-from gentianlink.core.target_record import TargetRecord
+from gentianlink.core.errors import AnnouncementInvalid
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.proxy.gate import Gate
 from gentianlink.node.proxy.local_target import LocalTarget
+from gentianlink.ops.validate_announcement import validate_announcement
+
+MAX_TARGETS = 64
+PAUSE_MS = 1000
+_ENDING_STATES = (TargetState.DRAINING, TargetState.LEFT)
 
 
 class LocalTargets:
@@ -21,7 +26,9 @@
         self._membership = membership
         self._lease_ms = lease_ms
         self._targets = {}
-        self._sequence = 0
+        self._checked_ms = None
+        self._is_draining = False
+        self._published_incarnation = membership.own_record.incarnation
 
     def get(self, target_id):
         """Return a target by name, None if it is not beside this node."""
@@ -40,75 +47,140 @@
             What the target said.
         now_ms : float
             Present time on the monotonic clock in milliseconds.
+
+        Raises
+        ------
+        AnnouncementInvalid
+            If the announcement has mistakes; nothing of it is taken in.
         """
-        target = self._targets.get(announcement.target_id)
+        problems = validate_announcement(announcement)
+        if problems:
+            raise AnnouncementInvalid(problems)
         state = TargetState(announcement.state)
-        is_news = target is None or target.state is not state
+        target = self._targets.get(announcement.target_id)
+        if self._is_draining or _is_outdated(target, announcement, state):
+            return
+        if target is not None and _is_other_process(target, announcement, state):
+            self._end(target, now_ms)
+            target = None
+        if state is TargetState.LEFT:
+            if target is not None:
+                self._end(target, now_ms)
+            return
         if target is None:
-            target = self._make_target(announcement, state)
-            self._targets[announcement.target_id] = target
-        target.state = state
+            self._add(announcement, state, now_ms)
+            return
         target.expires_ms = now_ms + self._lease_ms
-        if state in (TargetState.DRAINING, TargetState.LEFT):
-            target.gate.drain()
-        if is_news:
-            self._publish(target, announcement.slots)
+        self._update(target, announcement, state, now_ms)
 
-    def _make_target(self, announcement, state):
-        return LocalTarget(
+    def _add(self, announcement, state, now_ms):
+        if len(self._targets) >= MAX_TARGETS:
+            raise AnnouncementInvalid([f"more than {MAX_TARGETS} targets"])
+        target = LocalTarget(
             service=announcement.service,
             target_id=announcement.target_id,
             address=announcement.address,
             port=announcement.port,
             state=state,
+            slots=announcement.slots,
             gate=Gate(announcement.slots),
-            expires_ms=0.0,
+            expires_ms=now_ms + self._lease_ms,
         )
+        self._targets[target.target_id] = target
+        if state is TargetState.DRAINING:
+            target.gate.drain()
+        self._publish(target, now_ms)
 
-    def remove(self, target_id):
+    def _update(self, target, announcement, state, now_ms):
+        if (target.state, target.slots) == (state, announcement.slots):
+            return
+        target.state = state
+        if target.slots != announcement.slots:
+            target.slots = announcement.slots
+            target.gate.resize(announcement.slots)
+        if state is TargetState.DRAINING:
+            target.gate.drain()
+        self._publish(target, now_ms)
+
+    def _end(self, target, now_ms):
+        del self._targets[target.target_id]
+        target.gate.drain()
+        target.state = TargetState.LEFT
+        self._publish(target, now_ms)
+
+    def remove(self, target_id, now_ms):
         """Take in that a target has left.
 
         Parameters
         ----------
         target_id : str
             Name of the target.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
         """
-        target = self._targets.pop(target_id, None)
-        if target is None:
-            return
-        target.gate.drain()
-        target.state = TargetState.LEFT
-        self._publish(target, 0)
+        target = self._targets.get(target_id)
+        if target is not None:
+            self._end(target, now_ms)
 
     def expire(self, now_ms):
         """Remove the targets whose leases have lapsed.
 
+        After this process was paused, the heartbeats of that time may still wait to
+        be read, so the leases are prolonged by the pause.
+
         Parameters
         ----------
         now_ms : float
             Present time on the monotonic clock in milliseconds.
         """
+        gap_ms = 0.0 if self._checked_ms is None else now_ms - self._checked_ms
+        self._checked_ms = now_ms
         for target in self.get_all():
+            if gap_ms > PAUSE_MS:
+                target.expires_ms += gap_ms
             if target.expires_ms <= now_ms:
-                self.remove(target.target_id)
+                self._end(target, now_ms)
+        self._republish(now_ms)
+
+    def _republish(self, now_ms):
+        incarnation = self._membership.own_record.incarnation
+        if incarnation == self._published_incarnation:
+            return
+        self._published_incarnation = incarnation
+        for target in self.get_all():
+            self._publish(target, now_ms)
+
+    def drain_all(self, now_ms):
+        """Say that all targets beside this node take no new work.
 
-    def drain_all(self):
-        """Say that all targets beside this node take no new work."""
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        self._is_draining = True
         for target in self.get_all():
             target.gate.drain()
             target.state = TargetState.DRAINING
-            self._publish(target, 0)
-
-    def _publish(self, target, slots):
-        own = self._membership.own_record
-        self._sequence += 1
-        record = TargetRecord(
-            service=target.service,
-            target_id=target.target_id,
-            node_id=own.node_id,
-            incarnation=own.incarnation,
-            sequence=self._sequence,
-            state=target.state,
-            slots=slots,
+            self._publish(target, now_ms)
+
+    def _publish(self, target, now_ms):
+        self._membership.publish_target(
+            target.service, target.target_id, target.state, target.slots, now_ms
         )
-        self._membership.merge([], [record])
+
+
+def _get_place(target):
+    return target.service, target.address, target.port
+
+
+def _is_outdated(target, announcement, state):
+    if target is None or state not in _ENDING_STATES:
+        return False
+    return _get_place(target) != _get_place(announcement)
+
+
+def _is_other_process(target, announcement, state):
+    if _get_place(target) != _get_place(announcement):
+        return True
+    return target.state in _ENDING_STATES and state not in _ENDING_STATES
--- /dev/null
+++ b/packages/node/src/gentianlink/node/record_buckets.py
@@ -0,0 +1,74 @@
+"""Digests over the live records of nodes and targets, by bucket.
+
+Only records of live nodes count: a tombstone that one node still keeps and another
+has already forgotten makes no difference between their digests.
+"""
+
+from gentianlink.ops.membership import (
+    BUCKETS,
+    compute_bucket,
+    compute_node_hash,
+    compute_target_hash,
+)
+
+
+class RecordBuckets:
+    """Hashes of live records in buckets by name of the node."""
+
+    def __init__(self):
+        self._records = [{} for _ in range(BUCKETS)]
+        self._digests = [0] * BUCKETS
+        self._digest = 0
+        self._count = 0
+
+    @property
+    def digest(self):
+        """Digest of all records, 64 bits; equal for equal sets of records."""
+        return self._digest
+
+    @property
+    def digests(self):
+        """Digest of each bucket, 64 bits each."""
+        return self._digests
+
+    @property
+    def count(self):
+        """Number of records."""
+        return self._count
+
+    def add_node(self, record):
+        """Count in a record of a live node."""
+        self._add(record, compute_node_hash(record))
+
+    def add_target(self, record):
+        """Count in a record of a target of a live node."""
+        self._add(record, compute_target_hash(record))
+
+    def remove_node(self, record):
+        """Count out a record of a node; nothing happens if it was not in."""
+        self._remove(record, compute_node_hash(record))
+
+    def remove_target(self, record):
+        """Count out a record of a target; nothing happens if it was not in."""
+        self._remove(record, compute_target_hash(record))
+
+    def get_records(self, bucket):
+        """Return the records of a bucket by their hashes."""
+        return self._records[bucket]
+
+    def _add(self, record, record_hash):
+        bucket = compute_bucket(record.node_id)
+        if record_hash in self._records[bucket]:
+            return
+        self._records[bucket][record_hash] = record
+        self._count += 1
+        self._digests[bucket] ^= record_hash
+        self._digest ^= record_hash
+
+    def _remove(self, record, record_hash):
+        bucket = compute_bucket(record.node_id)
+        if self._records[bucket].pop(record_hash, None) is None:
+            return
+        self._count -= 1
+        self._digests[bucket] ^= record_hash
+        self._digest ^= record_hash
--- /dev/null
+++ b/packages/node/src/gentianlink/node/table_builder.py
@@ -0,0 +1,89 @@
+"""Keep the routing table up to date, building anew only what changed."""
+
+from gentianlink.core.routing_table import RoutingTable
+from gentianlink.ops.build_table import build_endpoints, build_routes
+
+
+class TableBuilder:
+    """Routing table of the catalogue in force and the present membership.
+
+    Changes only mark services; the work is done once for all changes since the last
+    look at the table, for the services that they touch.
+
+    Parameters
+    ----------
+    membership : Membership
+        Nodes and targets.
+    """
+
+    def __init__(self, membership):
+        self._membership = membership
+        self._catalogue = None
+        self._endpoints = {}
+        self._changed_services = set()
+        self._table = RoutingTable()
+        self._builds = 0
+
+    @property
+    def builds(self):
+        """Number of tables built."""
+        return self._builds
+
+    def mark_changed(self, nodes, targets):
+        """Note records that changed.
+
+        Parameters
+        ----------
+        nodes : iterable of NodeRecord
+            Nodes whose records changed.
+        targets : iterable of TargetRecord
+            Targets whose records changed.
+        """
+        self._changed_services.update(record.service for record in targets)
+        for node in nodes:
+            for record in self._membership.get_targets_of_node(node.node_id):
+                self._changed_services.add(record.service)
+
+    def get_table(self, catalogue):
+        """Return the table, built anew if anything changed.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            Version in force.
+
+        Returns
+        -------
+        RoutingTable
+            Table of that version and the present membership.
+        """
+        if catalogue is self._catalogue and not self._changed_services:
+            return self._table
+        self._endpoints = self._build_endpoints(catalogue)
+        self._table = build_routes(catalogue, self._endpoints)
+        self._catalogue = catalogue
+        self._changed_services.clear()
+        self._builds += 1
+        return self._table
+
+    def _build_endpoints(self, catalogue):
+        known = {}
+        if self._catalogue is not None:
+            known = {item.name: item for item in self._catalogue.services}
+        endpoints = {}
+        for service in catalogue.services:
+            name = service.name
+            if name in self._changed_services or known.get(name) != service:
+                endpoints[name] = self._build_service(service)
+            else:
+                endpoints[name] = self._endpoints[name]
+        return endpoints
+
+    def _build_service(self, service):
+        return build_endpoints(
+            self._membership.get_targets_of_service(service.name),
+            self._membership.nodes,
+            service.panic_threshold,
+            self._membership.grace,
+            self._membership.recently_dead,
+        )
--- /dev/null
+++ b/packages/node/src/gentianlink/node/test_membership.py
@@ -0,0 +1,194 @@
+import attrs
+
+from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.node_state import NodeState
+from gentianlink.core.target_record import TargetRecord
+from gentianlink.core.target_state import TargetState
+from gentianlink.node.membership import (
+    DEAD_AFTER_MS,
+    RECENTLY_DEAD_MS,
+    REFUTATION_PERIOD_MS,
+    TOMBSTONE_MS,
+    Membership,
+)
+
+
+def make_node(node_id, incarnation=100, sequence=1, state=NodeState.ALIVE):
+    return NodeRecord(
+        node_id, incarnation, sequence, "r", "r-1", "127.0.0.1", 1, 2, 3, state
+    )
+
+
+def make_target(node_id, incarnation=100, sequence=1, state=TargetState.READY):
+    return TargetRecord("inquiry", "t", node_id, incarnation, sequence, state, 10)
+
+
+OWN = make_node("own")
+SUSPECT = make_node("b", state=NodeState.SUSPECT)
+DEAD = make_node("b", state=NodeState.DEAD)
+
+
+def make_membership(*nodes, targets=(), own=OWN):
+    news = []
+    membership = Membership(own, lambda *change: news.append(change))
+    membership.merge(nodes, targets, 0)
+    news.clear()
+    return membership, news
+
+
+class TestMembership:
+    def test_suspect_that_does_not_refute_dies_after_a_bound(self):
+        membership, news = make_membership(make_node("b"))
+        membership.suspect("b", 1000)
+        membership.check(1000 + DEAD_AFTER_MS - 1)
+        assert membership.nodes["b"] == SUSPECT
+        membership.check(1000 + DEAD_AFTER_MS)
+        assert membership.nodes["b"] == DEAD
+        assert news == [([SUSPECT], [], None), ([DEAD], [], None)]
+
+    def test_suspect_that_refutes_lives(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.suspect("b", 1000)
+        membership.merge([make_node("b", sequence=2)], [], 2000)
+        membership.check(1000 + DEAD_AFTER_MS)
+        assert membership.nodes["b"] == make_node("b", sequence=2)
+
+    def test_each_suspicion_has_its_whole_time(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.suspect("b", 0)
+        membership.merge([make_node("b", sequence=2)], [], 3000)
+        membership.suspect("b", 3500)
+        membership.check(DEAD_AFTER_MS + 3499)
+        assert membership.nodes["b"].state is NodeState.SUSPECT
+
+    def test_node_that_hears_it_is_suspect_or_dead_refutes(self):
+        for state in (NodeState.SUSPECT, NodeState.DEAD):
+            membership, news = make_membership()
+            membership.merge([make_node("own", sequence=4, state=state)], [], 0)
+            assert membership.own_record == make_node("own", sequence=5)
+            assert news == [([make_node("own", sequence=5)], [], None)]
+
+    def test_refutations_are_limited_and_none_is_lost(self):
+        membership, news = make_membership()
+        for sequence in range(1, 50):
+            heard = make_node("own", sequence=sequence, state=NodeState.DEAD)
+            membership.merge([heard], [], sequence)
+        assert len(news) == 1
+        membership.check(1 + REFUTATION_PERIOD_MS)
+        assert membership.own_record == make_node("own", sequence=50)
+        assert len(news) == 2
+
+    def test_restart_with_a_clock_behind_still_gets_a_higher_incarnation(self):
+        membership, _ = make_membership()
+        membership.publish_target("inquiry", "t", TargetState.READY, 10, 0)
+        membership.merge([make_node("own", incarnation=900, sequence=7)], [], 0)
+        assert membership.own_record == make_node("own", incarnation=901)
+        assert membership.targets == {}
+
+    def test_targets_of_a_former_incarnation_vanish(self):
+        membership, _ = make_membership(make_node("b"), targets=[make_target("b")])
+        membership.merge([make_node("b", incarnation=200)], [], 0)
+        assert membership.targets == {}
+        later = membership.merge([], [make_target("b", sequence=99)], 0)
+        assert later == [make_node("b", incarnation=200)]
+        assert membership.targets == {}
+
+    def test_target_of_an_unknown_node_or_incarnation_is_not_held(self):
+        membership, news = make_membership(make_node("b"))
+        targets = [make_target("c"), make_target("b", incarnation=200)]
+        assert membership.merge([], targets, 0) == []
+        assert (membership.targets, news) == ({}, [])
+
+    def test_sender_of_an_outdated_statement_gets_the_later_one(self):
+        membership, news = make_membership(make_node("b"))
+        membership.merge([DEAD], [], 0)
+        news.clear()
+        assert membership.merge([make_node("b"), DEAD], [], 0, "c") == [DEAD]
+        assert news == []
+
+    def test_tombstone_keeps_old_state_out_for_a_bounded_time(self):
+        membership, _ = make_membership(make_node("b"), targets=[make_target("b")])
+        membership.merge([DEAD], [], 0)
+        membership.merge([make_node("b")], [make_target("b")], TOMBSTONE_MS - 1)
+        membership.check(TOMBSTONE_MS - 1)
+        assert membership.nodes["b"] == DEAD
+        membership.check(TOMBSTONE_MS)
+        assert (set(membership.nodes), membership.targets) == ({"own"}, {})
+
+    def test_death_heard_before_the_older_statement_wins(self):
+        membership, _ = make_membership()
+        membership.merge([DEAD], [], 0)
+        membership.merge([make_node("b")], [], 1)
+        assert membership.nodes["b"] == DEAD
+
+    def test_digest_covers_live_records_only(self):
+        holder, _ = make_membership(make_node("b"), targets=[make_target("b")])
+        stranger, _ = make_membership()
+        assert holder.digest != stranger.digest
+        holder.merge([DEAD], [], 0)
+        assert (holder.digest, holder.buckets.count) == (stranger.digest, 1)
+        refutation = make_node("b", sequence=2)
+        holder.merge([refutation], [], 1)
+        stranger.merge([refutation], [make_target("b")], 1)
+        assert (holder.digest, holder.buckets.count) == (stranger.digest, 3)
+
+    def test_left_target_counts_out_and_is_forgotten(self):
+        left = make_target("b", sequence=2, state=TargetState.LEFT)
+        membership, _ = make_membership(
+            make_node("b"), targets=[make_target("b"), left]
+        )
+        without, _ = make_membership(make_node("b"))
+        assert membership.digest == without.digest
+        membership.merge([], [make_target("b")], 0)
+        assert membership.get_targets_of_service("inquiry") == [left]
+        membership.check(TOMBSTONE_MS)
+        assert membership.targets == {}
+
+    def test_owner_corrects_what_others_say_of_its_targets(self):
+        membership, _ = make_membership()
+        membership.merge([], [make_target("own", sequence=7)], 0)
+        assert membership.get_targets_of_node("own") == [
+            attrs.evolve(
+                make_target("own", sequence=8, state=TargetState.LEFT), slots=0
+            )
+        ]
+
+    def test_death_without_suspicion_has_time_to_be_refuted(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.merge([DEAD], [], 1000)
+        assert membership.grace == {"b"}
+        assert membership.check(1000 + DEAD_AFTER_MS) == [DEAD]
+        assert membership.grace == set()
+        membership.check(1000 + RECENTLY_DEAD_MS)
+        assert membership.recently_dead == {}
+
+    def test_pause_of_this_node_gives_suspects_their_time_again(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.suspect("b", 0)
+        membership.shift_timers(30_000)
+        membership.check(30_000 + DEAD_AFTER_MS - 1)
+        assert membership.nodes["b"] == SUSPECT
+
+    def test_node_that_left_does_not_refute(self):
+        membership, _ = make_membership()
+        membership.leave(0)
+        membership.merge([make_node("own", sequence=9, state=NodeState.DEAD)], [], 0)
+        assert membership.own_record == make_node(
+            "own", sequence=2, state=NodeState.LEFT
+        )
+
+    def test_members_converge_whatever_the_order_of_arrival(self):
+        statements = [
+            make_node("b"),
+            SUSPECT,
+            make_node("b", sequence=2),
+            make_node("b", sequence=2, state=NodeState.DEAD),
+            make_node("b", incarnation=200),
+        ]
+        digests = set()
+        for shift in range(len(statements)):
+            membership, _ = make_membership(
+                *statements[shift:], *statements[:shift][::-1]
+            )
+            digests.add(membership.digest)
+        assert len(digests) == 1
--- a/packages/ops/src/gentianlink/ops/build_table.py
+++ b/packages/ops/src/gentianlink/ops/build_table.py
@@ -4,11 +4,10 @@
 from gentianlink.core.node_state import NodeState
 from gentianlink.core.routing_table import Route, RoutingTable
 from gentianlink.core.target_state import TargetState
+from gentianlink.ops.membership import LIVE_STATES
 
-_NODE_STATES_IN_USE = (NodeState.ALIVE, NodeState.SUSPECT)
 
-
-def build_table(catalogue, nodes, targets):
+def build_table(catalogue, nodes, targets, grace=(), recently_dead=()):
     """Return the routing table; it holds the endpoints themselves.
 
     Parameters
@@ -18,44 +17,114 @@
     nodes : dict of str to NodeRecord
         Nodes by name.
     targets : dict of tuple to TargetRecord
-        Targets by service and name.
+        Targets by node, service and name.
+    grace : collection of str, optional
+        Dead nodes that still have time to refute.
+    recently_dead : collection of str, optional
+        Nodes that died a short time ago.
 
     Returns
     -------
     RoutingTable
         Routes whose endpoints are all known to this node.
     """
-    endpoints = _build_endpoints(nodes, targets)
+    by_service = {}
+    for record in targets.values():
+        by_service.setdefault(record.service, []).append(record)
+    endpoints = {
+        service.name: build_endpoints(
+            by_service.get(service.name, ()),
+            nodes,
+            service.panic_threshold,
+            grace,
+            recently_dead,
+        )
+        for service in catalogue.services
+    }
+    return build_routes(catalogue, endpoints)
+
+
+def build_routes(catalogue, endpoints):
+    """Return the routing table for endpoints that are already built.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Applied version.
+    endpoints : dict of str to tuple of Endpoint
+        Endpoints by service.
+
+    Returns
+    -------
+    RoutingTable
+        One route for each entry, with the endpoints themselves.
+    """
     services = {service.name: service for service in catalogue.services}
     routes = {}
     for entry in catalogue.entries:
         service = services[entry.service]
-        route_endpoints = tuple(endpoints.get(entry.service, ()))
-        routes[entry.route] = Route(entry, route_endpoints, service.panic_threshold)
+        routes[entry.route] = Route(
+            entry, endpoints[entry.service], service.panic_threshold
+        )
     return RoutingTable(catalogue.version, routes)
 
 
-def _build_endpoints(nodes, targets):
-    endpoints = {}
-    for record in targets.values():
+def build_endpoints(records, nodes, panic_threshold, grace=(), recently_dead=()):
+    """Return the endpoints of one service that take new work.
+
+    Endpoints of nodes that died a short time ago stay where the share of the others
+    is under the panic threshold: so many deaths at once say more about the view of
+    this node than about the endpoints.
+
+    Parameters
+    ----------
+    records : iterable of TargetRecord
+        Targets of the service.
+    nodes : dict of str to NodeRecord
+        Nodes by name.
+    panic_threshold : float
+        Share of endpoints that must look alive for deaths to be believed.
+    grace : collection of str, optional
+        Dead nodes that still have time to refute.
+    recently_dead : collection of str, optional
+        Nodes that died a short time ago.
+
+    Returns
+    -------
+    tuple of Endpoint
+        Endpoints in the order of their names.
+    """
+    alive = []
+    doubted = []
+    for record in records:
         node = nodes.get(record.node_id)
-        if node is None or node.state not in _NODE_STATES_IN_USE:
+        if node is None or record.incarnation != node.incarnation:
             continue
-        if record.incarnation != node.incarnation:
+        if record.state is not TargetState.READY or node.state is NodeState.LEFT:
             continue
-        if record.state is not TargetState.READY:
-            continue
-        endpoint = Endpoint(
-            target_id=record.target_id,
-            node_id=record.node_id,
-            data_centre=node.data_centre,
-            address=node.address,
-            call_port=node.call_port,
-            state=record.state,
-            slots=record.slots,
-        )
-        endpoints.setdefault(record.service, []).append(endpoint)
-    return endpoints
+        if node.state in LIVE_STATES or node.node_id in grace:
+            alive.append(_make_endpoint(record, node))
+        elif node.node_id in recently_dead:
+            doubted.append(_make_endpoint(record, node))
+    if len(alive) < panic_threshold * (len(alive) + len(doubted)):
+        alive.extend(doubted)
+    return tuple(sorted(alive, key=_get_endpoint_key))
+
+
+def _get_endpoint_key(endpoint):
+    return endpoint.target_id, endpoint.node_id
+
+
+def _make_endpoint(record, node):
+    return Endpoint(
+        target_id=record.target_id,
+        node_id=record.node_id,
+        data_centre=node.data_centre,
+        address=node.address,
+        call_port=node.call_port,
+        state=record.state,
+        slots=record.slots,
+    )
 
 
 def get_route(table, path):
--- a/packages/platform/src/gentianlink/platform/names.py
+++ b/packages/platform/src/gentianlink/platform/names.py
@@ -24,8 +24,3 @@
 def get_delta_name(version, digest):
     """Return the name of the object with the delta to a version."""
     return f"catalogue/delta/{version:012d}-{digest}"
-
-
-def get_node_key(data_centre, node_id):
-    """Return the key of the row by which a node can be found."""
-    return f"{NODE_PREFIX}{data_centre}/{node_id}"
--- a/packages/testing/src/gentianlink/testing/fleet.py
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -24,6 +24,9 @@
 [platform]
 table_url = {platform_url}/table
 object_url = {platform_url}/objects
+
+[mesh]
+{mesh_settings}
 """
 STOP_TIMEOUT_S = 20
 
@@ -101,10 +104,13 @@
     ----------
     region : str
         Region of all members.
+    mesh_settings : str, optional
+        Lines of the section ``mesh`` of every node.
     """
 
-    def __init__(self, region):
+    def __init__(self, region, mesh_settings=""):
         self._region = region
+        self._mesh_settings = mesh_settings
         self._directory = tempfile.TemporaryDirectory(prefix="gentianlink-")
         self._platform = None
         self._platform_port = get_free_ports("127.0.0.1", 1)[0]
@@ -157,7 +163,10 @@
         path = pathlib.Path(self._directory.name) / f"{member.node_id}.ini"
         values = attrs.asdict(member, recurse=False)
         text = NODE_SETTINGS.format(
-            region=self._region, platform_url=self.platform_url, **values
+            region=self._region,
+            platform_url=self.platform_url,
+            mesh_settings=self._mesh_settings,
+            **values,
         )
         path.write_text(text)
         binary = pathlib.Path(sys.executable).parent / "gentianlink-node"
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/membership_experiment.py
@@ -0,0 +1,223 @@
+"""Measure what membership costs a node, and how fast failures are seen.
+
+Run ``python -m gentianlink.testing.membership_experiment --help``.
+"""
+
+import asyncio
+import os
+import pathlib
+import random
+import statistics
+import time
+
+import typer
+
+from gentianlink.testing.demo import get_status, wait_for
+from gentianlink.testing.fleet import Fleet
+
+START_TIMEOUT_S = 60
+VIEW_TIMEOUT_S = 60
+POLL_S = 0.05
+BYTES_PER_KB = 1000
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+app = typer.Typer(add_completion=False)
+
+
+def read_processor_s(pid):
+    """Return the processor time that a process has used, in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def read_resident_mb(pid):
+    """Return the resident memory of a process in megabytes."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * PAGE_BYTES / 1e6
+
+
+def make_fleet(nodes, data_centres, extra_settings=""):
+    """Start a fleet of nodes without targets.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of nodes.
+    data_centres : int
+        Number of data centres.
+    extra_settings : str, optional
+        Lines of the section ``mesh``.
+
+    Returns
+    -------
+    Fleet
+        The running fleet.
+    """
+    fleet = Fleet("region", extra_settings)
+    fleet.start_platform()
+    for number in range(nodes):
+        fleet.add_member("service", number, number % data_centres + 1)
+    for member in fleet.members:
+        fleet.start_node(member)
+    return fleet
+
+
+async def wait_for_view(members, nodes, timeout_s=VIEW_TIMEOUT_S):
+    """Wait until all members hold the same records of so many live nodes.
+
+    Parameters
+    ----------
+    members : list of Member
+        Members whose nodes run.
+    nodes : int
+        Number of live nodes.
+    timeout_s : float, optional
+        Bound in seconds.
+
+    Returns
+    -------
+    float
+        Time that it took in seconds.
+
+    Raises
+    ------
+    TimeoutError
+        If the views do not agree in time.
+    """
+    started_s = time.monotonic()
+    while time.monotonic() < started_s + timeout_s:
+        statuses = await asyncio.gather(*map(get_status, members))
+        views = {
+            (status["nodes"], status["records_digest"]) if status else None
+            for status in statuses
+        }
+        if len(views) == 1 and None not in views and next(iter(views))[0] == nodes:
+            return time.monotonic() - started_s
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError(f"views: {views}")
+
+
+async def measure_idle(fleet, seconds):
+    """Return the cost of each node at idle.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The running fleet.
+    seconds : float
+        Length of the measurement.
+
+    Returns
+    -------
+    list of tuple of float
+        Processor share in percent, kilobytes sent and received a second, resident
+        memory in megabytes and number of links, of each node.
+    """
+    before = await _read_costs(fleet)
+    started_s = time.monotonic()
+    await asyncio.sleep(seconds)
+    after = await _read_costs(fleet)
+    elapsed_s = time.monotonic() - started_s
+    costs = []
+    for member, first, last in zip(fleet.members, before, after, strict=True):
+        share = 100 * (last[0] - first[0]) / elapsed_s
+        rate = (last[1] - first[1]) / elapsed_s / BYTES_PER_KB
+        costs.append((share, rate, read_resident_mb(member.node.pid), last[2]))
+    return costs
+
+
+async def _read_costs(fleet):
+    statuses = await asyncio.gather(*map(get_status, fleet.members))
+    return [
+        (
+            read_processor_s(member.node.pid),
+            status["mesh_sent_bytes"] + status["mesh_received_bytes"],
+            len(status["links"]),
+        )
+        for member, status in zip(fleet.members, statuses, strict=True)
+    ]
+
+
+@app.command()
+def idle(nodes: int, seconds: float = 10.0, data_centres: int = 3, mesh: str = ""):
+    """Processor time, bytes and memory of each node at idle."""
+    fleet = make_fleet(nodes, data_centres, mesh.replace(",", "\n"))
+    try:
+        asyncio.run(_run_idle(fleet, seconds))
+    finally:
+        fleet.stop()
+
+
+async def _run_idle(fleet, seconds):
+    agreed_s = await wait_for_view(fleet.members, len(fleet.members), START_TIMEOUT_S)
+    await asyncio.sleep(2)
+    costs = await measure_idle(fleet, seconds)
+    print(f"{len(costs)} nodes, views agree after {agreed_s:.1f} s")
+    names = ("% of a core", "KB/s sent and received", "MB resident", "links")
+    for name, values in zip(names, zip(*costs, strict=True), strict=True):
+        print(f"{name:24} p50 {statistics.median(values):6.2f}  max {max(values):6.2f}")
+
+
+@app.command()
+def detection(nodes: int, kills: int = 5, data_centres: int = 3):
+    """Time from the kill of a node until all others have declared it dead."""
+    fleet = make_fleet(nodes, data_centres)
+    try:
+        asyncio.run(_run_detection(fleet, kills))
+    finally:
+        fleet.stop()
+
+
+async def _run_detection(fleet, kills):
+    members = list(fleet.members)
+    await wait_for_view(members, len(members), START_TIMEOUT_S)
+    await asyncio.sleep(2)
+    times = []
+    for _ in range(kills):
+        victim = members.pop()
+        victim.node.kill()
+        victim.node.wait()
+        times.append(await wait_for_view(members, len(members)))
+    print(
+        f"{len(fleet.members)} nodes, {kills} kills: dead on all others after "
+        f"p50 {statistics.median(times):.2f} s, max {max(times):.2f} s"
+    )
+
+
+@app.command()
+def rejoin(nodes: int, data_centres: int = 3, down_s: float = 8.0):
+    """Kill half of the nodes at once, start them at once, wait until views agree."""
+    fleet = make_fleet(nodes, data_centres)
+    try:
+        asyncio.run(_run_rejoin(fleet, down_s))
+    finally:
+        fleet.stop()
+
+
+async def _run_rejoin(fleet, down_s):
+    members = fleet.members
+    await wait_for_view(members, len(members), START_TIMEOUT_S)
+    half = random.Random(1).sample(members, len(members) // 2)
+    for member in half:
+        member.node.kill()
+    for member in half:
+        member.node.wait()
+    survivors = [member for member in members if member not in half]
+    died_s = await wait_for_view(survivors, len(survivors))
+    await asyncio.sleep(max(0.0, down_s - died_s))
+    for member in half:
+        fleet.start_node(member)
+    started_s = time.monotonic()
+    await wait_for(half, lambda status: True, START_TIMEOUT_S)
+    up_s = time.monotonic() - started_s
+    agreed_s = up_s + await wait_for_view(members, len(members))
+    print(f"{len(members)} nodes, {len(half)} killed at once")
+    print(f"dead on all survivors after {died_s:.2f} s")
+    print(f"restarted at once, all answer after {up_s:.2f} s")
+    print(f"all views agree after {agreed_s:.2f} s")
+
+
+if __name__ == "__main__":
+    app()
