--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -39,6 +39,7 @@
 EXPIRE_PERIOD_S = 0.2
 JOIN_ATTEMPTS_BEFORE_SCAN = 2
 MIN_JOIN_WAIT_MS = 50
+TABLE_BUILD_DELAY_MS = 20
 FIRST_ROW_PERIOD_MS = 30 * 1000
 ROW_PERIOD_MS = 30 * 60 * 1000
 
@@ -55,6 +56,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._is_stopping = False
+        self._is_build_due = False
         self._tasks = []
         own_record = make_own_record(settings, get_now_ms())
         self._platform_table = TableClient.from_settings(settings.platform)
@@ -102,7 +104,7 @@
 
     def get_table(self):
         """Return the current routing table."""
-        return self._table_builder.get_table(self._applied.catalogue)
+        return self._table_builder.table
 
     def is_ready(self):
         """Return whether this node may serve calls."""
@@ -142,15 +144,27 @@
         self._metrics.update(self.get_status())
 
     def _on_applied(self):
+        self._build_table()
         self._mesh.spread_version()
         _LOG.info("version in force", version=self._applied.version)
 
     def _on_records(self, nodes, targets, source):
-        self._table_builder.mark_changed(nodes, targets)
+        self._mark_changed(nodes, targets)
         self._mesh.spread_records(nodes, targets, source)
 
     def _on_judged(self, nodes):
-        self._table_builder.mark_changed(nodes, [])
+        self._mark_changed(nodes, [])
+
+    def _mark_changed(self, nodes, targets):
+        self._table_builder.mark_changed(nodes, targets)
+        if not self._is_build_due:
+            self._is_build_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(TABLE_BUILD_DELAY_MS / 1000, self._build_table)
+
+    def _build_table(self):
+        self._is_build_due = False
+        self._table_builder.build(self._applied.catalogue)
 
     def _examine(self, node_id):
         self._detector.examine(node_id, get_monotonic_ms())
--- a/packages/node/src/gentianlink/node/table_builder.py
+++ b/packages/node/src/gentianlink/node/table_builder.py
@@ -7,8 +7,8 @@
 class TableBuilder:
     """Routing table of the catalogue in force and the present membership.
 
-    Changes only mark services; the work is done once for all changes since the last
-    look at the table, for the services that they touch.
+    Changes only mark services; a build serves all changes since the build before it
+    and covers only the services that they touch.
 
     Parameters
     ----------
@@ -24,6 +24,11 @@
         self._table = RoutingTable()
         self._builds = 0
 
+    @property
+    def table(self):
+        """Table of the last build."""
+        return self._table
+
     @property
     def builds(self):
         """Number of tables built."""
@@ -44,8 +49,8 @@
             for record in self._membership.get_targets_of_node(node.node_id):
                 self._changed_services.add(record.service)
 
-    def get_table(self, catalogue):
-        """Return the table, built anew if anything changed.
+    def build(self, catalogue):
+        """Build the table anew if anything changed.
 
         Parameters
         ----------
--- a/packages/ops/src/gentianlink/ops/choose_neighbours.py
+++ b/packages/ops/src/gentianlink/ops/choose_neighbours.py
@@ -65,33 +65,39 @@
             Neighbours, each once.
         """
         own = self._own
-        inside, across, regions = [], [], []
-        for node in nodes:
-            if node.region != own.region:
-                regions.append(node)
-            elif node.data_centre != own.data_centre:
-                across.append(node)
-            elif node.node_id != own.node_id:
-                inside.append(node)
-        numbers = self._numbers
-        successor = self._get_successor(own.node_id, [node.node_id for node in inside])
-        first = [node for node in inside if node.node_id == successor]
-        chosen = self._choose_ranked(first, inside, numbers.inside)
-        chosen += self._choose_group(across, _get_data_centre, own, numbers.across)
-        chosen += self._choose_group(regions, _get_region, own, numbers.regions)
+        by_region = _group(nodes, _get_region)
+        by_data_centre = _group(by_region.pop(own.region, ()), _get_data_centre)
+        inside = by_data_centre.pop(own.data_centre, [])
+        chosen = self._choose_inside(inside)
+        for data_centre in self._choose_names(
+            own.data_centre, by_data_centre, self._numbers.across
+        ):
+            chosen += self._choose_ranked(by_data_centre[data_centre], chosen, 1)
+        for region in self._choose_names(own.region, by_region, self._numbers.regions):
+            groups = _group(by_region[region], _get_data_centre)
+            best = max(groups, key=self._get_score)
+            chosen += self._choose_ranked(groups[best], chosen, 1)
         return chosen
 
-    def _choose_group(self, nodes, get_group, own, number):
-        groups = {get_group(node) for node in nodes}
-        successor = self._get_successor(get_group(own), groups)
-        first = [node for node in nodes if get_group(node) == successor]
-        return self._choose_ranked(first, nodes, number)
+    def _choose_inside(self, inside):
+        own_id = self._own.node_id
+        others = [node for node in inside if node.node_id != own_id]
+        successor = self._get_successor(own_id, [node.node_id for node in others])
+        chosen = [node for node in others if node.node_id == successor]
+        return chosen + self._choose_ranked(others, chosen, self._numbers.inside - 1)
 
-    def _choose_ranked(self, first, nodes, number):
-        chosen = heapq.nlargest(min(1, number), first, key=self._get_score)
+    def _choose_names(self, own_name, names, number):
+        first = self._get_successor(own_name, names)
+        others = [name for name in names if name != first]
+        ranked = [first, *sorted(others, key=self._get_score, reverse=True)]
+        return [ranked[index % len(ranked)] for index in range(number) if names]
+
+    def _choose_ranked(self, nodes, chosen, number):
         names = {node.node_id for node in chosen}
         others = (node for node in nodes if node.node_id not in names)
-        return chosen + heapq.nlargest(number - len(chosen), others, self._get_score)
+        return heapq.nlargest(
+            number, others, lambda node: self._get_score(node.node_id)
+        )
 
     def _get_successor(self, own_name, names):
         own_position = self._get_position(own_name)
@@ -106,15 +112,22 @@
             self._positions[name] = position
         return position
 
-    def _get_score(self, node):
-        score = self._scores.get(node.node_id)
+    def _get_score(self, name):
+        score = self._scores.get(name)
         if score is None:
             _bound(self._scores)
-            score = compute_score(self._own.node_id, node.node_id)
-            self._scores[node.node_id] = score
+            score = compute_score(self._own.node_id, name)
+            self._scores[name] = score
         return score
 
 
+def _group(nodes, get_name):
+    groups = {}
+    for node in nodes:
+        groups.setdefault(get_name(node), []).append(node)
+    return groups
+
+
 def _get_data_centre(node):
     return node.data_centre
 
