--- a/packages/testing/src/gentianlink/testing/fleet.py
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -155,13 +155,29 @@
             The member.
         """
         address = f"127.0.{data_centre_number}.1"
-        ports = get_free_ports(address, 4)
+        ports = self._get_unused_ports(address, 4)
         data_centre = f"{self._region}-{data_centre_number}"
         name = f"{service}-{number}"
         member = Member(name, service, data_centre, address, *ports)
         self.members.append(member)
         return member
 
+    def _get_unused_ports(self, address, count):
+        used = {
+            port
+            for member in self.members
+            if member.address == address
+            for port in (
+                member.call_port,
+                member.mesh_port,
+                member.admin_port,
+                member.target_port,
+            )
+        }
+        while used.intersection(ports := get_free_ports(address, count)):
+            continue
+        return ports
+
     def start_node(self, member):
         """Start the node of a member."""
         path = pathlib.Path(self._directory.name) / f"{member.node_id}.ini"
