--- a/packages/node/src/gentianlink/node/test_head_reader.py
+++ b/packages/node/src/gentianlink/node/test_head_reader.py
@@ -189,7 +189,7 @@
         assert reading.read(1000 + PEERS_FIRST_MS) == 1
 
     def test_node_that_is_no_reader_leaves_the_objects_to_readers(self, reading):
-        reading.membership.merge([make_record(f"n{n}") for n in range(50)], [])
+        reading.membership.merge([make_record(f"n{n}") for n in range(50)], [], 0)
         assert not is_reader(
             reading.membership.own_record, reading.membership.get_live_nodes(), 2
         )
