--- a/packages/node/src/gentianlink/node/mesh/test_convergence_service.py
+++ b/packages/node/src/gentianlink/node/mesh/test_convergence_service.py
@@ -51,8 +51,8 @@
 
 
 def make_nodes():
-    ports = get_ports(4)
     address = get_own_address(1)
+    ports = get_ports(4)
     return [
         NodeRecord(f"n{number}", 1, 1, "r", data_centre, address, 1, port, 1)
         for number, (data_centre, port) in enumerate(
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -53,6 +53,10 @@
             self._calls.set({"outcome": outcome}, count)
         self._platform.set({"kind": "read"}, status.platform_reads)
         self._platform.set({"kind": "write"}, status.platform_writes)
+        for result, count in status.claims.items():
+            self._claims.set({"result": result}, count)
+        for kind, count in status.claims_pending.items():
+            self._claims_pending.set({"kind": kind}, count)
         self._refused.set({}, len(status.refused))
         for name, count in status.control_bytes.items():
             direction, _, kind = name.partition(" ")
@@ -63,7 +67,3 @@
             labels = {"scope": "data_centre"}
             self._convergence.set(labels, status.data_centre_convergence_ms)
         self._platform_bytes.set({}, status.platform_bytes)
-        for result, count in status.claims.items():
-            self._claims.set({"result": result}, count)
-        for kind, count in status.claims_pending.items():
-            self._claims_pending.set({"kind": kind}, count)
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -44,16 +44,22 @@
         Calls that are being handled.
     outcomes : dict of str to int
         Numbers of calls by outcome.
+    records : int
+        Live records of nodes and targets.
+    records_digest : str
+        Digest of these records; equal on nodes with the same view.
+    table_builds : int
+        Routing tables built.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
         Writes sent to the platform.
-    platform_bytes : int
-        Bytes exchanged with the platform.
     claims : dict of str to int
         Results of at-most-once calls by kind.
     claims_pending : dict of str to int
         At-most-once calls and writes under way.
+    platform_bytes : int
+        Bytes exchanged with the platform.
     """
 
     node_id: str
@@ -73,11 +79,14 @@
     endpoints: dict[str, int]
     in_flight: int
     outcomes: dict[str, int]
+    records: int
+    records_digest: str
+    table_builds: int
     platform_reads: int
     platform_writes: int
-    platform_bytes: int
     claims: dict[str, int]
     claims_pending: dict[str, int]
+    platform_bytes: int
 
     @property
     def own_convergence_ms(self):
