--- a/packages/core/src/gentianlink/core/errors.py
+++ b/packages/core/src/gentianlink/core/errors.py
@@ -15,7 +15,7 @@
     """
 
     def __init__(self, problems):
-        super().__init__(f"{len(problems)} mistakes in the settings")
+        super().__init__(f"mistakes in the settings: {len(problems)}")
         self.problems = problems
 
 
@@ -33,7 +33,7 @@
     """
 
     def __init__(self, problems):
-        super().__init__(f"{len(problems)} mistakes in the catalogue")
+        super().__init__(f"mistakes in the catalogue: {len(problems)}")
         self.problems = problems
 
 
--- a/packages/core/src/gentianlink/core/problem.py
+++ b/packages/core/src/gentianlink/core/problem.py
@@ -29,5 +29,7 @@
 
     def format(self):
         """Return the mistake as one line of text."""
-        place = f"[{self.section}] {self.key}".rstrip()
-        return f"{self.source}: {place}: found {self.found}; allowed: {self.allowed}"
+        section = f"[{self.section}]" if self.section else ""
+        place = " ".join(part for part in (section, self.key) if part)
+        prefix = f"{self.source}: {place}" if place else self.source
+        return f"{prefix}: found {self.found}; allowed: {self.allowed}"
--- a/packages/core/src/gentianlink/core/setting.py
+++ b/packages/core/src/gentianlink/core/setting.py
@@ -1,19 +1,44 @@
 """Kinds of settings: each gives an attrs field that knows how to parse its text."""
 
+import ipaddress
+import re
 import urllib.parse
 
 import attrs
 
 PARSE = "parse"
 ALLOWED = "allowed"
+RELOADABLE = "reloadable"
 
+MAX_PORT = 65_535
+NAME_ALLOWED = "1 to 64 letters, digits, '.', '_' or '-', first a letter or digit"
+_WHOLE_NUMBER = re.compile(r"-?[0-9]{1,18}")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
-def _make_field(parse, allowed, default=attrs.NOTHING):
-    metadata = {PARSE: parse, ALLOWED: allowed}
+
+def _make_field(parse, allowed, default=attrs.NOTHING, reloadable=False):
+    metadata = {PARSE: parse, ALLOWED: allowed, RELOADABLE: reloadable}
     return attrs.field(default=default, metadata=metadata)
 
 
-def integer(low, high, default=attrs.NOTHING):
+def is_name(value):
+    """Return whether a text can name a node, region, data centre or entry.
+
+    Parameters
+    ----------
+    value : str
+        The text.
+
+    Returns
+    -------
+    bool
+        True for 1 to 64 ASCII letters, digits, dots, hyphens and underscores, of
+        which the first is a letter or digit.
+    """
+    return _NAME.fullmatch(value) is not None
+
+
+def integer(low, high, default=attrs.NOTHING, reloadable=False):
     """Return a field for a whole number.
 
     Parameters
@@ -24,6 +49,8 @@
         Largest allowed value.
     default : int, optional
         Value of a missing key.
+    reloadable : bool, optional
+        Whether a running process takes over a new value.
 
     Returns
     -------
@@ -32,12 +59,15 @@
     """
 
     def parse(value):
+        if not _WHOLE_NUMBER.fullmatch(value):
+            raise ValueError(value)
         number = int(value)
         if not low <= number <= high:
             raise ValueError(value)
         return number
 
-    return _make_field(parse, f"whole number from {low} to {high}", default)
+    allowed = f"whole number from {low} to {high}"
+    return _make_field(parse, allowed, default, reloadable)
 
 
 def text(default=attrs.NOTHING):
@@ -62,7 +92,7 @@
     return _make_field(parse, "a word without white space", default)
 
 
-def choice(*values, default=attrs.NOTHING):
+def choice(*values, default=attrs.NOTHING, reloadable=False):
     """Return a field for one of several words.
 
     Parameters
@@ -71,6 +101,8 @@
         Allowed words.
     default : str, optional
         Value of a missing key.
+    reloadable : bool, optional
+        Whether a running process takes over a new value.
 
     Returns
     -------
@@ -83,7 +115,7 @@
             raise ValueError(value)
         return value
 
-    return _make_field(parse, "one of " + ", ".join(values), default)
+    return _make_field(parse, "one of " + ", ".join(values), default, reloadable)
 
 
 def url(default=attrs.NOTHING):
@@ -94,6 +126,36 @@
     default : str, optional
         Value of a missing key.
 
+    Returns
+    -------
+    attrs field
+        Field whose metadata parse and describe the setting.
+    """
+    return _make_field(_parse_url, _URL_ALLOWED, default)
+
+
+_URL_ALLOWED = "an address that starts with http:// or https://"
+
+
+def _parse_url(value):
+    if not value.isascii() or not value.isprintable() or " " in value:
+        raise ValueError(value)
+    parts = urllib.parse.urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError(value)
+    if parts.port == 0 or parts.query or parts.fragment or "@" in parts.netloc:
+        raise ValueError(value)
+    return value.rstrip("/")
+
+
+def url_list(default=attrs.NOTHING):
+    """Return a field for a list of HTTP addresses separated by commas.
+
+    Parameters
+    ----------
+    default : tuple of str, optional
+        Value of a missing key.
+
     Returns
     -------
     attrs field
@@ -101,14 +163,54 @@
     """
 
     def parse(value):
-        parts = urllib.parse.urlsplit(value)
-        if parts.scheme not in ("http", "https") or not parts.hostname:
+        return tuple(_parse_url(part.strip()) for part in value.split(","))
+
+    return _make_field(parse, "addresses that start with http:// or https://", default)
+
+
+def name(default=attrs.NOTHING):
+    """Return a field for a name.
+
+    Parameters
+    ----------
+    default : str, optional
+        Value of a missing key.
+
+    Returns
+    -------
+    attrs field
+        Field whose metadata parse and describe the setting.
+    """
+
+    def parse(value):
+        if not is_name(value):
             raise ValueError(value)
-        return value.rstrip("/")
+        return value
 
-    return _make_field(
-        parse, "an address that starts with http:// or https://", default
-    )
+    return _make_field(parse, NAME_ALLOWED, default)
+
+
+def ip_address(default=attrs.NOTHING):
+    """Return a field for the IP number of this instance.
+
+    Parameters
+    ----------
+    default : str, optional
+        Value of a missing key.
+
+    Returns
+    -------
+    attrs field
+        Field whose metadata parse and describe the setting.
+    """
+
+    def parse(value):
+        address = ipaddress.ip_address(value)
+        if address.is_unspecified or address.is_multicast:
+            raise ValueError(value)
+        return value
+
+    return _make_field(parse, "an IP number that other nodes can reach", default)
 
 
 def address_list(default=attrs.NOTHING):
@@ -128,11 +230,16 @@
     def parse(value):
         addresses = tuple(part.strip() for part in value.split(",") if part.strip())
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            if not host or not 0 < int(port) < 65536:
-                raise ValueError(address)
+            _check_address(address)
         return addresses
 
     return _make_field(
         parse, "addresses such as 127.0.0.1:7100, 127.0.0.1:7101", default
     )
+
+
+def _check_address(address):
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if not _WHOLE_NUMBER.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(address)
--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -2,26 +2,34 @@
 
 import attrs
 
-from gentianlink.core.setting import address_list, choice, integer, text, url
+from gentianlink.core.setting import (
+    MAX_PORT,
+    address_list,
+    choice,
+    integer,
+    ip_address,
+    name,
+    url,
+)
 
 
 @attrs.frozen
 class NodeSettings:
     """Section ``node``: who this process is."""
 
-    id: str = text()
-    region: str = text()
-    data_centre: str = text()
+    id: str = name()
+    region: str = name()
+    data_centre: str = name()
 
 
 @attrs.frozen
 class ListenSettings:
     """Section ``listen``: where this process listens."""
 
-    address: str = text()
-    call_port: int = integer(1, 65535)
-    mesh_port: int = integer(1, 65535)
-    admin_port: int = integer(1, 65535)
+    address: str = ip_address()
+    call_port: int = integer(1, MAX_PORT)
+    mesh_port: int = integer(1, MAX_PORT)
+    admin_port: int = integer(1, MAX_PORT)
 
 
 @attrs.frozen
@@ -60,7 +68,10 @@
 class LogSettings:
     """Section ``log``: structured logs on standard error."""
 
-    level: str = choice("debug", "info", "warning", "error", default="info")
+    level: str = choice(
+        "debug", "info", "warning", "error", default="info", reloadable=True
+    )
+    format: str = choice("json", "console", default="json", reloadable=True)
 
 
 @attrs.frozen
--- a/packages/node/src/gentianlink/node/admin.py
+++ b/packages/node/src/gentianlink/node/admin.py
@@ -1,94 +1,44 @@
-"""The admin port: announcements of targets, health, status and metrics."""
+"""The admin port: its routes, and the server."""
 
-import cattrs
-import orjson
-from aioprometheus import REGISTRY, render
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
-from gentianlink.core.announcement import Announcement
-from gentianlink.core.codec import decode
-from gentianlink.core.errors import CodecError
-from gentianlink.core.target_state import TargetState
-from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node import admin_handlers as handlers
 
-STATUS_BAD_REQUEST = 400
-STATUS_UNAVAILABLE = 503
-MAX_BODY_BYTES = 64 * 1024
+ROUTES = (
+    ("/v1/targets", handlers.TargetsHandler),
+    ("/v1/targets/([^/]+)", handlers.TargetHandler),
+    ("/v1/status", handlers.StatusHandler),
+    ("/v1/nodes", handlers.NodesHandler),
+    ("/v1/explain", handlers.ExplainHandler),
+    ("/v1/reload", handlers.ReloadHandler),
+    ("/readyz", handlers.ReadyHandler),
+    ("/healthz", handlers.HealthHandler),
+    ("/metrics", handlers.MetricsHandler),
+)
 
 
-class _Handler(RequestHandler):
-    def initialize(self, node):
-        self._node = node
+def make_admin_application(node):
+    """Return the application of the admin port.
 
-    def write_json(self, value):
-        self.set_header("Content-Type", "application/json")
-        self.write(orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS))
-
-
-class TargetsHandler(_Handler):
-    """Takes announcements and heartbeats of targets."""
-
-    def post(self):
-        """Take in an announcement or a heartbeat."""
-        try:
-            announcement = decode(self.request.body, Announcement)
-            TargetState(announcement.state)
-        except (CodecError, ValueError) as error:
-            self.set_status(STATUS_BAD_REQUEST)
-            self.write_json({"error": str(error)})
-            return
-        self._node.local_targets.announce(announcement, get_monotonic_ms())
-        self.write_json({"version": self._node.applied.version})
-
-
-class TargetHandler(_Handler):
-    """Takes the leave of a target."""
-
-    def delete(self, target_id):
-        """Take in that a target has left."""
-        self._node.local_targets.remove(target_id)
-        self.write_json({})
-
-
-class ReadyHandler(_Handler):
-    """Says whether this node may serve."""
-
-    def get(self):
-        """Answer 200 if ready, else 503."""
-        if not self._node.is_ready():
-            self.set_status(STATUS_UNAVAILABLE)
-        self.write_json({"ready": self._node.is_ready()})
-
-
-class HealthHandler(_Handler):
-    """Says that the process is alive."""
-
-    def get(self):
-        """Answer 200."""
-        self.write_json({"alive": True})
-
-
-class StatusHandler(_Handler):
-    """Describes this node."""
-
-    def get(self):
-        """Answer with what this node knows and does."""
-        self.write_json(cattrs.unstructure(self._node.get_status()))
-
-
-class MetricsHandler(_Handler):
-    """Serves metrics in the format of Prometheus."""
+    Parameters
+    ----------
+    node : Node
+        The node that it describes.
 
-    def get(self):
-        """Answer with all metrics."""
-        self._node.update_metrics()
-        accept = self.request.headers.get_list("Accept")
-        content, headers = render(REGISTRY, accept)
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.write(content)
+    Returns
+    -------
+    tornado.web.Application
+        The application.
+    """
+    arguments = {"node": node}
+    return Application(
+        [(path, handler, arguments) for path, handler in ROUTES],
+        default_handler_class=handlers.UnknownPathHandler,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
 
 
 def start_admin_server(node, address, port):
@@ -108,18 +58,8 @@
     tornado.httpserver.HTTPServer
         The running server.
     """
-    arguments = {"node": node}
-    application = Application(
-        [
-            ("/v1/targets", TargetsHandler, arguments),
-            ("/v1/targets/([^/]+)", TargetHandler, arguments),
-            ("/v1/status", StatusHandler, arguments),
-            ("/readyz", ReadyHandler, arguments),
-            ("/healthz", HealthHandler, arguments),
-            ("/metrics", MetricsHandler, arguments),
-        ],
-        log_function=lambda handler: None,
+    server = HTTPServer(
+        make_admin_application(node), max_body_size=handlers.MAX_READ_BYTES
     )
-    server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
     server.add_sockets(bind_sockets(port, address))
     return server
--- /dev/null
+++ b/packages/node/src/gentianlink/node/admin_handlers.py
@@ -0,0 +1,186 @@
+"""Handlers of the admin port; every failure is answered by a typed JSON object."""
+
+import http
+
+import cattrs
+import orjson
+from aioprometheus import REGISTRY, render
+from tornado.web import RequestHandler
+
+from gentianlink.core.announcement import Announcement
+from gentianlink.core.codec import decode
+from gentianlink.core.errors import CodecError, GentianlinkError, SettingsInvalid
+from gentianlink.core.target_state import TargetState
+from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.errors import AdminRequestInvalid
+from gentianlink.node.log import get_logger
+
+_LOG = get_logger("admin")
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_READ_BYTES = 1 << 20
+MAX_PATH_CHARACTERS = 4096
+
+
+class AdminHandler(RequestHandler):
+    """Base class of the handlers."""
+
+    def initialize(self, node):
+        """Take over the node that is described."""
+        self._node = node
+
+    def prepare(self):
+        """Refuse a body that no request has."""
+        if len(self.request.body) > MAX_BODY_BYTES:
+            raise AdminRequestInvalid(
+                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"the body is larger than {MAX_BODY_BYTES} bytes",
+            )
+
+    def write_json(self, value):
+        """Answer with plain data."""
+        self.set_header("Content-Type", "application/json")
+        self.write(orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS))
+
+    def log_exception(self, typ, value, tb):
+        """Log a refused request as a sentence, an unknown failure with its trace."""
+        if isinstance(value, GentianlinkError):
+            _LOG.warning("request refused", path=self.request.path, why=str(value))
+        elif not hasattr(value, "status_code"):
+            _LOG.error("request failed", path=self.request.path, exc_info=value)
+
+    def write_error(self, status_code, **kwargs):
+        """Answer with the type and the message of a failure."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        name = http.HTTPStatus(status_code).phrase
+        message = name
+        if isinstance(error, GentianlinkError):
+            status_code = _get_status(error)
+            name = type(error).__name__
+            message = str(error)
+        self.set_status(status_code)
+        self.write_json({"error": message, "type": name})
+        self.finish()
+
+
+def _get_status(error):
+    if isinstance(error, AdminRequestInvalid):
+        return error.status
+    return http.HTTPStatus.BAD_REQUEST
+
+
+class UnknownPathHandler(AdminHandler):
+    """Answers every path that is not one of the admin port's."""
+
+    def prepare(self):
+        """Refuse the request."""
+        raise AdminRequestInvalid(http.HTTPStatus.NOT_FOUND, "no such path")
+
+
+class TargetsHandler(AdminHandler):
+    """Takes announcements and heartbeats of targets."""
+
+    def post(self):
+        """Take in an announcement or a heartbeat."""
+        announcement = decode(self.request.body, Announcement)
+        _check_state(announcement)
+        self._node.local_targets.announce(announcement, get_monotonic_ms())
+        self.write_json(
+            {
+                "version": self._node.applied.version,
+                "draining": self._node.is_draining,
+            }
+        )
+
+
+def _check_state(announcement):
+    try:
+        TargetState(announcement.state)
+    except ValueError as error:
+        raise CodecError(f"not a state of a target: {announcement.state}") from error
+
+
+class TargetHandler(AdminHandler):
+    """Takes the leave of a target."""
+
+    def delete(self, target_id):
+        """Take in that a target has left."""
+        self._node.local_targets.remove(target_id)
+        self.write_json({})
+
+
+class ReadyHandler(AdminHandler):
+    """Says whether this node may serve."""
+
+    def get(self):
+        """Answer 200 if ready, else 503."""
+        if not self._node.is_ready():
+            self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        self.write_json({"ready": self._node.is_ready()})
+
+
+class HealthHandler(AdminHandler):
+    """Says that the process is alive."""
+
+    def get(self):
+        """Answer 200."""
+        self.write_json({"alive": True})
+
+
+class StatusHandler(AdminHandler):
+    """Describes this node."""
+
+    def get(self):
+        """Answer with what this node knows and does."""
+        self.write_json(cattrs.unstructure(self._node.get_status()))
+
+
+class NodesHandler(AdminHandler):
+    """Lists the nodes that this node knows."""
+
+    def get(self):
+        """Answer with the records of all nodes."""
+        self.write_json({"nodes": cattrs.unstructure(self._node.get_nodes())})
+
+
+class ExplainHandler(AdminHandler):
+    """Says what this node would do with a call."""
+
+    def get(self):
+        """Answer with the explanation for a path."""
+        path = self.get_query_argument("path", "").partition("?")[0]
+        if not path.startswith("/") or len(path) > MAX_PATH_CHARACTERS:
+            raise AdminRequestInvalid(
+                http.HTTPStatus.BAD_REQUEST, "path is not an absolute path"
+            )
+        self.write_json(cattrs.unstructure(self._node.explain(path)))
+
+
+class ReloadHandler(AdminHandler):
+    """Reads the settings again."""
+
+    def post(self):
+        """Answer with what is in force now and what needs a restart."""
+        try:
+            report = self._node.reload_settings()
+        except SettingsInvalid as error:
+            self.set_status(http.HTTPStatus.UNPROCESSABLE_ENTITY)
+            problems = [problem.format() for problem in error.problems]
+            name = type(error).__name__
+            answer = {"error": str(error), "type": name, "problems": problems}
+            self.write_json(answer)
+            return
+        self.write_json(cattrs.unstructure(report))
+
+
+class MetricsHandler(AdminHandler):
+    """Serves metrics in the format of Prometheus."""
+
+    def get(self):
+        """Answer with all metrics."""
+        self._node.update_metrics()
+        accept = self.request.headers.get_list("Accept")
+        content, headers = render(REGISTRY, accept)
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.write(content)
--- a/packages/node/src/gentianlink/node/log.py
+++ b/packages/node/src/gentianlink/node/log.py
@@ -1,4 +1,4 @@
-"""Structured logs: one line of JSON on standard error, a fixed prefix for each part."""
+"""Structured logs on standard error, with a fixed prefix for each part."""
 
 import logging
 import sys
@@ -6,26 +6,44 @@
 import structlog
 
 
-def configure_logs(level):
-    """Set up the logs of the process.
+def configure_logs(settings):
+    """Set up the logs of the process; may be called again while it runs.
 
     Parameters
     ----------
-    level : str
-        Lowest level that is written.
+    settings : LogSettings
+        Lowest level that is written, and the format.
     """
+    level = logging.getLevelNamesMapping()[settings.level.upper()]
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.JSONRenderer(),
+            _make_renderer(settings.format),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(
-            logging.getLevelName(level.upper())
-        ),
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=False,
     )
+    logging.basicConfig(level=logging.CRITICAL, stream=sys.stderr, force=True)
+
+
+def _make_renderer(format_name):
+    if format_name == "console":
+        return _render_console
+    return structlog.processors.JSONRenderer()
+
+
+def _render_console(logger, method_name, event_dict):
+    when = event_dict.pop("timestamp")
+    level = event_dict.pop("level")
+    part = event_dict.pop("part", "gentianlink")
+    event = event_dict.pop("event")
+    trace = event_dict.pop("exception", "")
+    pairs = " ".join(f"{key}={value!r}" for key, value in event_dict.items())
+    line = f"{when} {level:7} {part}: {event} {pairs}".rstrip()
+    return f"{line}\n{trace}" if trace else line
 
 
 def get_logger(prefix):
--- a/packages/node/src/gentianlink/node/main.py
+++ b/packages/node/src/gentianlink/node/main.py
@@ -4,22 +4,27 @@
 import os
 import pathlib
 import signal
+from typing import Annotated
 
 import typer
 import uvloop
 
 from gentianlink.core.errors import SettingsInvalid
-from gentianlink.node.log import configure_logs
+from gentianlink.node.errors import ListenFailed
+from gentianlink.node.exit_code import NodeExitCode
+from gentianlink.node.log import configure_logs, get_logger
 from gentianlink.node.node import Node
+from gentianlink.node.settings_reloader import SettingsReloader
 from gentianlink.parser.settings_file import load_settings
 
-EXIT_SETTINGS_INVALID = 2
-EXIT_KILLED = 1
+_LOG = get_logger("settings")
 
 
 def run(
-    settings_path: pathlib.Path,
-    check: bool = typer.Option(False, help="Only check the settings."),
+    settings_path: Annotated[pathlib.Path, typer.Argument(help="Settings file.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Only check the settings.")
+    ] = False,
 ):
     """Run the node beside a target with the settings of an INI file."""
     try:
@@ -27,31 +32,58 @@
     except SettingsInvalid as error:
         for problem in error.problems:
             typer.echo(problem.format(), err=True)
-        raise typer.Exit(EXIT_SETTINGS_INVALID) from error
+        raise typer.Exit(NodeExitCode.SETTINGS_INVALID) from error
     if check:
         typer.echo(f"{settings_path}: no mistakes")
         return
-    configure_logs(settings.log.level)
-    uvloop.run(_run_node(settings))
+    configure_logs(settings.log)
+    reloader = SettingsReloader(
+        settings_path, settings, lambda changed: configure_logs(changed.log)
+    )
+    try:
+        uvloop.run(_run_node(reloader))
+    except ListenFailed as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(NodeExitCode.CANNOT_LISTEN) from error
 
 
-async def _run_node(settings):
-    node = Node.from_settings(settings)
+async def _run_node(reloader):
+    node = Node.from_settings(reloader.settings, reloader.reload)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _request_stop, stop_requested)
+    loop.add_signal_handler(signal.SIGHUP, _reload, reloader)
     await node.run(stop_requested)
 
 
 def _request_stop(stop_requested):
     if stop_requested.is_set():
-        os._exit(EXIT_KILLED)
+        os._exit(NodeExitCode.KILLED)
     stop_requested.set()
 
 
-def main():
-    """Run the command."""
+def _reload(reloader):
+    try:
+        reloader.reload()
+    except SettingsInvalid as error:
+        for problem in error.problems:
+            _LOG.error("settings refused", why=problem.format())
+
+
+def make_application():
+    """Return the command line of the node.
+
+    Returns
+    -------
+    typer.Typer
+        The application.
+    """
     application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
     application.command()(run)
-    application()
+    return application
+
+
+def main():
+    """Run the command."""
+    make_application()()
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,6 +1,7 @@
 """Put the parts of a node together, run them, and stop them gracefully."""
 
 import asyncio
+import contextlib
 
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
@@ -10,6 +11,7 @@
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
@@ -26,6 +28,8 @@
 from gentianlink.node.proxy.router import Router
 from gentianlink.node.proxy.server import CallServer
 from gentianlink.ops.build_table import build_table
+from gentianlink.ops.explain import explain_call
+from gentianlink.platform.admin_rows import write_admin_address
 from gentianlink.platform.catalogue_store import CatalogueStore
 from gentianlink.platform.names import NODE_PREFIX, get_node_key
 from gentianlink.platform.object_client import ObjectClient
@@ -44,10 +48,14 @@
     ----------
     settings : Settings
         Checked settings.
+    reload_settings : callable
+        Reads the settings again and returns a :class:`ReloadReport`.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, reload_settings):
         self._settings = settings
+        self.reload_settings = reload_settings
+        self._is_draining = False
         self._table = RoutingTable()
         self._is_stopping = False
         self._tasks = []
@@ -66,14 +74,15 @@
         self._pool = ConnectionPool.from_settings(settings.calls)
         claims = ClaimStore(self._platform_table, own_record)
         dispatcher = Dispatcher(self._local_targets, self._pool, claims)
-        router = Router(own_record, dispatcher, self._pool, LoadView())
-        self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
+        self._load = LoadView()
+        router = Router(own_record, dispatcher, self._pool, self._load)
+        self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
         self._metrics = NodeMetrics()
 
     @classmethod
-    def from_settings(cls, settings):
+    def from_settings(cls, settings, reload_settings):
         """Return a node for checked settings."""
-        return cls(settings)
+        return cls(settings, reload_settings)
 
     @property
     def applied(self):
@@ -85,12 +94,21 @@
         """Targets beside this node."""
         return self._local_targets
 
+    @property
+    def is_draining(self):
+        """Whether this node has been asked to stop."""
+        return self._is_draining
+
     def get_table(self):
         """Return the current routing table."""
         return self._table
 
     def is_ready(self):
-        """Return whether this node may serve calls."""
+        """Return whether this node wants new calls."""
+        return self.is_serving() and not self._is_draining
+
+    def is_serving(self):
+        """Return whether this node serves the calls that arrive."""
         return self._reader.has_read and not self._is_stopping
 
     def get_status(self):
@@ -117,6 +135,33 @@
             platform_writes=self._platform_table.writes,
         )
 
+    def get_nodes(self):
+        """Return the records of all nodes that this node knows."""
+        return list(self._membership.nodes.values())
+
+    def explain(self, path):
+        """Return what this node would do with a call.
+
+        Parameters
+        ----------
+        path : str
+            Path of the call without its query.
+
+        Returns
+        -------
+        Explanation
+            Entry, limits and endpoints with the reasons.
+        """
+        return explain_call(
+            path,
+            self._table,
+            self._membership.own_record,
+            self._membership.nodes,
+            self._membership.targets.values(),
+            self._load.get_load,
+            lambda target_id: "",
+        )
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
@@ -143,26 +188,35 @@
         stop_requested : asyncio.Event
             Set when the node should stop.
         """
-        listen = self._settings.listen
-        mesh_server = await start_mesh_server(
-            self._mesh, listen.address, listen.mesh_port
-        )
-        start_admin_server(self, listen.address, listen.admin_port)
-        self._calls.listen(listen.address, listen.call_port)
+        mesh_server = await self._start_servers()
         for work in (
             self._reader.run(),
             self._run_topology(),
             self._run_heartbeats(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._publish_admin_row(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
         await stop_requested.wait()
         await self._stop(mesh_server)
 
+    async def _start_servers(self):
+        listen = self._settings.listen
+        with report_listen_failure("mesh_port", listen):
+            mesh_server = await start_mesh_server(
+                self._mesh, listen.address, listen.mesh_port
+            )
+        with report_listen_failure("admin_port", listen):
+            start_admin_server(self, listen.address, listen.admin_port)
+        with report_listen_failure("call_port", listen):
+            self._calls.listen(listen.address, listen.call_port)
+        return mesh_server
+
     async def _stop(self, mesh_server):
-        _LOG.info("node stopping")
+        _LOG.info("node stopping", in_flight=self._calls.in_flight)
+        self._is_draining = True
         self._local_targets.drain_all()
         await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
         self._is_stopping = True
@@ -211,6 +265,42 @@
             except PlatformError:
                 await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
 
+    async def _publish_admin_row(self):
+        own = self._membership.own_record
+        address = f"{own.address}:{own.admin_port}"
+        while True:
+            try:
+                await write_admin_address(
+                    self._platform_table, own.data_centre, own.node_id, address
+                )
+                return
+            except PlatformError:
+                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+
+
+@contextlib.contextmanager
+def report_listen_failure(key, listen):
+    """Turn the failure to listen on a port into a typed error.
+
+    Parameters
+    ----------
+    key : str
+        Key of the port.
+    listen : ListenSettings
+        Addresses of this node.
+
+    Raises
+    ------
+    ListenFailed
+        If the block fails to listen.
+    """
+    try:
+        yield
+    except (OSError, RuntimeError) as error:
+        why = getattr(error, "strerror", None) or str(error)
+        port = getattr(listen, key)
+        raise ListenFailed(key, listen.address, port, why) from error
+
 
 def make_own_record(settings, now_ms):
     """Return the record of this node.
--- a/packages/ops/src/gentianlink/ops/validate_catalogue.py
+++ b/packages/ops/src/gentianlink/ops/validate_catalogue.py
@@ -7,10 +7,15 @@
 import collections
 
 from gentianlink.core.problem import Problem
+from gentianlink.core.setting import NAME_ALLOWED, is_name
 
 MAX_DEADLINE_MS = 600_000
 MAX_RETRIES = 5
 MAX_BODY_BYTES = 1 << 30
+MAX_SERVICES = 2_000
+MAX_ENTRIES = 20_000
+MAX_PREFERRED = 32
+MAX_ROUTE_CHARACTERS = 256
 
 
 def validate_catalogue(catalogue, source):
@@ -47,6 +52,52 @@
     return problems
 
 
+def validate_size(catalogue, source):
+    """Return a problem if there are more services or entries than nodes take."""
+    problems = []
+    for kind, items, most in (
+        ("service", catalogue.services, MAX_SERVICES),
+        ("entry", catalogue.entries, MAX_ENTRIES),
+    ):
+        if len(items) > most:
+            found = f"{len(items)} sections"
+            problems.append(Problem(source, kind, "", found, f"at most {most}"))
+    return problems
+
+
+def validate_names(catalogue, source):
+    """Return a problem for each name that is not in the syntax of names."""
+    problems = []
+    for kind, items in (("service", catalogue.services), ("entry", catalogue.entries)):
+        for item in items:
+            section = f"{kind} {item.name}"
+            if not is_name(item.name):
+                problems.append(Problem(source, section, "", item.name, NAME_ALLOWED))
+            if not is_name(item.owner):
+                problems.append(
+                    Problem(source, section, "owner", item.owner, NAME_ALLOWED)
+                )
+    return problems
+
+
+def validate_preferences(catalogue, source):
+    """Return a problem for each list of data centres that can't be followed."""
+    problems = []
+    for entry in catalogue.entries:
+        section = f"entry {entry.name}"
+        if len(entry.prefer) > MAX_PREFERRED:
+            found = f"{len(entry.prefer)} data centres"
+            allowed = f"at most {MAX_PREFERRED}"
+            problems.append(Problem(source, section, "prefer", found, allowed))
+        for name, count in collections.Counter(entry.prefer).items():
+            if not is_name(name):
+                problems.append(Problem(source, section, "prefer", name, NAME_ALLOWED))
+            if count > 1:
+                found = f"{name} {count} times"
+                problems.append(Problem(source, section, "prefer", found, "once"))
+    return problems
+
+
 def validate_services_exist(catalogue, source):
     """Return a problem for each entry whose service the catalogue doesn't have."""
     names = {service.name for service in catalogue.services}
@@ -90,6 +141,8 @@
     """
     if not route.startswith("/") or route.endswith("/"):
         return False
+    if len(route) > MAX_ROUTE_CHARACTERS or not route.isprintable():
+        return False
     if not route.isascii() or any(character in route for character in "?#% \t\\"):
         return False
     return all(part not in ("", ".", "..") for part in route[1:].split("/"))
@@ -130,7 +183,10 @@
 
 
 CHECKS = (
+    validate_size,
     validate_unique_names,
+    validate_names,
+    validate_preferences,
     validate_services_exist,
     validate_routes,
     validate_limits,
--- a/packages/parser/src/gentianlink/parser/catalogue_file.py
+++ b/packages/parser/src/gentianlink/parser/catalogue_file.py
@@ -4,7 +4,9 @@
 ``[entry NAME]`` for each entry.
 """
 
-import configparser
+import re
+
+import attrs
 
 from gentianlink.core.catalogue import Catalogue
 from gentianlink.core.entry import Entry
@@ -12,6 +14,7 @@
 from gentianlink.core.problem import Problem
 from gentianlink.core.service import Service
 from gentianlink.core.work_class import WorkClass
+from gentianlink.parser.ini_file import parse_ini, read_text, shorten
 
 SERVICE_KEYS = ("owner", "panic_threshold")
 LIMIT_KEYS = (
@@ -22,6 +25,8 @@
     "retries",
     "body_max_bytes",
 )
+_WHOLE_NUMBER = re.compile(r"-?[0-9]{1,18}")
+_DECIMAL_NUMBER = re.compile(r"-?[0-9]{1,18}(\.[0-9]{1,18})?")
 ENTRY_KEYS = ("owner", "service", "class", "route", "prefer", *LIMIT_KEYS)
 
 
@@ -42,26 +47,20 @@
     problems : list of Problem
         Every mistake found.
     """
-    config = configparser.ConfigParser(interpolation=None, empty_lines_in_values=False)
-    try:
-        config.read_string(text, source)
-    except configparser.Error as error:
-        problem = Problem(source, "", "", str(error).replace("\n", " "), "INI text")
-        return Catalogue(), [problem]
+    ini = parse_ini(text, source)
     services = []
     entries = []
-    problems = []
-    for title in config.sections():
+    problems = list(ini.problems)
+    for title, section in ini.sections.items():
         kind, _, name = title.partition(" ")
         name = name.strip()
-        section = config[title]
+        place = _Place(source, title, problems)
         if kind == "service" and name:
-            services.append(_parse_service(name, section, source, problems))
+            services.append(_parse_service(name, section, place))
         elif kind == "entry" and name:
-            entries.append(_parse_entry(name, section, source, problems))
+            entries.append(_parse_entry(name, section, place))
         else:
-            allowed = "[service NAME] or [entry NAME]"
-            problems.append(Problem(source, title, "", "an unknown section", allowed))
+            place.add("", "an unknown section", "[service NAME] or [entry NAME]")
     catalogue = Catalogue(
         services=tuple(sorted(filter(None, services), key=lambda item: item.name)),
         entries=tuple(sorted(filter(None, entries), key=lambda item: item.name)),
@@ -69,22 +68,55 @@
     return catalogue, problems
 
 
-def _parse_service(name, section, source, problems):
-    _check_keys(section, SERVICE_KEYS, source, problems)
-    owner = _get_text(section, "owner", source, problems)
-    threshold = _get_number(section, "panic_threshold", float, 0.5, source, problems)
+def load_catalogue(path):
+    """Read a catalogue file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+
+    Returns
+    -------
+    catalogue : Catalogue
+        Services and entries that could be read, at version 0.
+    problems : list of Problem
+        Every mistake found.
+    """
+    text, problems = read_text(path)
+    if problems:
+        return Catalogue(), problems
+    return parse_catalogue(text, str(path))
+
+
+@attrs.frozen
+class _Place:
+    """A section of a file, and where its mistakes go."""
+
+    source: str
+    title: str
+    problems: list[Problem]
+
+    def add(self, key, found, allowed):
+        self.problems.append(Problem(self.source, self.title, key, found, allowed))
+
+
+def _parse_service(name, section, place):
+    _check_keys(section, SERVICE_KEYS, place)
+    owner = _get_text(section, "owner", place)
+    threshold = _get_number(section, "panic_threshold", float, 0.5, place)
     if owner is None or threshold is None:
         return None
     return Service(name, owner, threshold)
 
 
-def _parse_entry(name, section, source, problems):
-    _check_keys(section, ENTRY_KEYS, source, problems)
-    owner = _get_text(section, "owner", source, problems)
-    service = _get_text(section, "service", source, problems)
-    route = _get_text(section, "route", source, problems)
-    work_class = _get_work_class(section, source, problems)
-    limits = _parse_limits(section, source, problems)
+def _parse_entry(name, section, place):
+    _check_keys(section, ENTRY_KEYS, place)
+    owner = _get_text(section, "owner", place)
+    service = _get_text(section, "service", place)
+    route = _get_text(section, "route", place)
+    work_class = _get_work_class(section, place)
+    limits = _parse_limits(section, place)
     if None in (owner, service, route, work_class, limits):
         return None
     words = section.get("prefer", "").split(",")
@@ -92,51 +124,48 @@
     return Entry(name, owner, service, work_class, route, limits, prefer)
 
 
-def _parse_limits(section, source, problems):
+def _parse_limits(section, place):
     defaults = Limits()
     values = {}
     for key in LIMIT_KEYS:
         default = getattr(defaults, key)
-        parse = type(default)
-        values[key] = _get_number(section, key, parse, default, source, problems)
+        values[key] = _get_number(section, key, type(default), default, place)
     if None in values.values():
         return None
     return Limits(**values)
 
 
-def _check_keys(section, allowed, source, problems):
+def _check_keys(section, allowed, place):
     for key in section:
         if key not in allowed:
-            names = ", ".join(allowed)
-            problems.append(Problem(source, section.name, key, "an unknown key", names))
+            place.add(key, "an unknown key", ", ".join(allowed))
 
 
-def _get_text(section, key, source, problems):
+def _get_text(section, key, place):
     value = section.get(key, "").strip()
     if value:
         return value
-    problems.append(Problem(source, section.name, key, "nothing", "a word"))
+    place.add(key, "nothing", "a word")
     return None
 
 
-def _get_number(section, key, parse, default, source, problems):
+def _get_number(section, key, parse, default, place):
     value = section.get(key)
     if value is None:
         return default
-    try:
+    pattern = _WHOLE_NUMBER if parse is int else _DECIMAL_NUMBER
+    if pattern.fullmatch(value):
         return parse(value)
-    except ValueError:
-        allowed = "a whole number" if parse is int else "a number"
-        problems.append(Problem(source, section.name, key, repr(value), allowed))
-        return None
+    allowed = "a whole number" if parse is int else "a number such as 0.5"
+    place.add(key, shorten(value), allowed)
+    return None
 
 
-def _get_work_class(section, source, problems):
+def _get_work_class(section, place):
     value = section.get("class", "")
     try:
         return WorkClass(value)
     except ValueError:
         allowed = ", ".join(item.value for item in WorkClass)
-        found = repr(value) if value else "nothing"
-        problems.append(Problem(source, section.name, "class", found, allowed))
+        place.add("class", shorten(value) if value else "nothing", allowed)
         return None
--- a/packages/parser/src/gentianlink/parser/settings_file.py
+++ b/packages/parser/src/gentianlink/parser/settings_file.py
@@ -1,17 +1,18 @@
-"""Read a node's settings file and report every mistake in it at once."""
-
-import configparser
+"""Read a settings file and report every mistake in it at once."""
 
 import attrs
 
 from gentianlink.core.errors import SettingsInvalid
+from gentianlink.core.operator_settings import OperatorSettings
 from gentianlink.core.problem import Problem
 from gentianlink.core.setting import ALLOWED, PARSE
 from gentianlink.core.settings import Settings
+from gentianlink.parser.ini_file import parse_ini, read_text, shorten
+from gentianlink.parser.settings_checks import validate_settings
 
 
 def parse_settings(text, source):
-    """Parse the text of a settings file.
+    """Parse the text of a node's settings file.
 
     Parameters
     ----------
@@ -27,36 +28,61 @@
     problems : list of Problem
         Every mistake found.
     """
-    config = configparser.ConfigParser(interpolation=None, empty_lines_in_values=False)
-    try:
-        config.read_string(text, source)
-    except configparser.Error as error:
-        problem = Problem(source, "", "", str(error).replace("\n", " "), "INI text")
-        return None, [problem]
-    problems = _validate_section_names(config, source)
+    settings, problems = _parse(text, source, Settings)
+    if settings is not None:
+        problems = validate_settings(settings, source)
+    return (None if problems else settings), problems
+
+
+def parse_operator_settings(text, source):
+    """Parse the text of the command line's settings file.
+
+    Parameters
+    ----------
+    text : str
+        INI text.
+    source : str
+        Name of the file for messages.
+
+    Returns
+    -------
+    settings : OperatorSettings or None
+        The settings, None if there is a mistake.
+    problems : list of Problem
+        Every mistake found.
+    """
+    return _parse(text, source, OperatorSettings)
+
+
+def _parse(text, source, data_type):
+    ini = parse_ini(text, source)
+    problems = list(ini.problems)
+    if not ini.sections and problems:
+        return None, problems
+    problems.extend(_validate_section_names(ini.sections, source, data_type))
     sections = {}
-    for field in attrs.fields(Settings):
-        values, section_problems = _parse_section(config, field, source)
+    for field in attrs.fields(data_type):
+        given = dict(ini.sections.get(field.name, {}))
+        values, section_problems = _parse_section(given, field, source)
         problems.extend(section_problems)
         if not section_problems:
             sections[field.name] = field.type(**values)
     if problems:
         return None, problems
-    return Settings(**sections), []
+    return data_type(**sections), []
 
 
-def _validate_section_names(config, source):
-    allowed = [field.name for field in attrs.fields(Settings)]
-    problems = []
-    for name in config.sections():
-        if name not in allowed:
-            found = "an unknown section"
-            problems.append(Problem(source, name, "", found, ", ".join(allowed)))
-    return problems
+def _validate_section_names(sections, source, data_type):
+    allowed = [field.name for field in attrs.fields(data_type)]
+    found = "an unknown section"
+    return [
+        Problem(source, title, "", found, ", ".join(allowed))
+        for title in sections
+        if title not in allowed
+    ]
 
 
-def _parse_section(config, section, source):
-    given = dict(config[section.name]) if config.has_section(section.name) else {}
+def _parse_section(given, section, source):
     values = {}
     problems = []
     for field in attrs.fields(section.type):
@@ -70,7 +96,7 @@
         try:
             values[field.name] = field.metadata[PARSE](found)
         except ValueError:
-            problem = Problem(source, section.name, field.name, repr(found), allowed)
+            problem = Problem(source, section.name, field.name, shorten(found), allowed)
             problems.append(problem)
     names = ", ".join(field.name for field in attrs.fields(section.type))
     for key in given:
@@ -79,7 +105,7 @@
 
 
 def load_settings(path):
-    """Read and check a settings file.
+    """Read and check a node's settings file.
 
     Parameters
     ----------
@@ -96,12 +122,34 @@
     SettingsInvalid
         If the file can't be read or has mistakes.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem(str(path), "", "", type(error).__name__, "a readable file")
-        raise SettingsInvalid([problem]) from error
-    settings, problems = parse_settings(text, str(path))
+    return _load(path, parse_settings)
+
+
+def load_operator_settings(path):
+    """Read and check the command line's settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+
+    Returns
+    -------
+    OperatorSettings
+        Checked settings.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the file can't be read or has mistakes.
+    """
+    return _load(path, parse_operator_settings)
+
+
+def _load(path, parse):
+    text, problems = read_text(path)
+    if not problems:
+        settings, problems = parse(text, str(path))
     if problems:
         raise SettingsInvalid(problems)
     return settings
--- a/packages/parser/src/gentianlink/parser/test_settings_file.py
+++ b/packages/parser/src/gentianlink/parser/test_settings_file.py
@@ -50,9 +50,10 @@
         assert [problem.format() for problem in problems] == [
             "bad.ini: [mash]: found an unknown section; allowed: "
             "node, listen, platform, mesh, calls, log",
-            "bad.ini: [node] id: found 'a b'; allowed: a word without white space",
-            "bad.ini: [node] data_centre: found nothing; "
-            "allowed: a word without white space",
+            "bad.ini: [node] id: found 'a b'; allowed: 1 to 64 letters, digits, "
+            "'.', '_' or '-', first a letter or digit",
+            "bad.ini: [node] data_centre: found nothing; allowed: 1 to 64 letters, "
+            "digits, '.', '_' or '-', first a letter or digit",
             "bad.ini: [listen] call_port: found '70000'; "
             "allowed: whole number from 1 to 65535",
             "bad.ini: [listen] colour: found an unknown key; "
--- a/packages/platform/src/gentianlink/platform/names.py
+++ b/packages/platform/src/gentianlink/platform/names.py
@@ -4,6 +4,7 @@
 CHANGE_PREFIX = "catalogue/change/"
 CHANGE_ID_PREFIX = "catalogue/change-id/"
 NODE_PREFIX = "node/"
+ADMIN_PREFIX = "admin/"
 
 
 def get_change_key(version):
@@ -29,3 +30,8 @@
 def get_node_key(data_centre, node_id):
     """Return the key of the row by which a node can be found."""
     return f"{NODE_PREFIX}{data_centre}/{node_id}"
+
+
+def get_admin_key(data_centre, node_id):
+    """Return the key of the row with the address of a node's admin port."""
+    return f"{ADMIN_PREFIX}{data_centre}/{node_id}"
--- a/packages/testing/src/gentianlink/testing/demo.py
+++ b/packages/testing/src/gentianlink/testing/demo.py
@@ -92,7 +92,7 @@
         Output of the command.
     """
     binary = pathlib.Path(sys.executable).parent / "gentianlink"
-    command = [str(binary), "catalogue", "apply", str(path), "--why", why]
+    command = [str(binary), "catalogue", "apply", str(path), "--why", why, "--yes"]
     command += ["--table-url", f"{fleet.platform_url}/table"]
     command += ["--object-url", f"{fleet.platform_url}/objects"]
     result = subprocess.run(command, capture_output=True, text=True, check=True)
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/errors.py
@@ -0,0 +1,100 @@
+"""Failures of the command line."""
+
+from gentianlink.core.errors import GentianlinkError
+
+
+class ToolError(GentianlinkError):
+    """Base class of failures of the command line."""
+
+
+class VersionNotFound(ToolError):
+    """There is no such version.
+
+    Parameters
+    ----------
+    version : int
+        Version that was asked for.
+    """
+
+    def __init__(self, version):
+        super().__init__(f"there is no version {version}")
+        self.version = version
+
+
+class BaseMoved(ToolError):
+    """The catalogue is no longer at the version that a change was made against.
+
+    Parameters
+    ----------
+    base : int
+        Version that the change was made against.
+    changes : sequence of Change
+        Changes accepted since.
+    """
+
+    def __init__(self, base, changes):
+        super().__init__(f"version {base} is not the last one any more")
+        self.base = base
+        self.changes = tuple(changes)
+
+
+class ChangeIdTaken(ToolError):
+    """A change id has already made a version of other content.
+
+    Parameters
+    ----------
+    change : Change
+        Audit row of that version.
+    """
+
+    def __init__(self, change):
+        super().__init__(
+            f"the change id {change.change_id} has made version {change.version}, "
+            "which differs from this file"
+        )
+        self.change = change
+
+
+class ChangeDeclined(ToolError):
+    """The operator did not confirm a change."""
+
+
+class NodeUnreachable(ToolError):
+    """A node does not answer on its admin port.
+
+    Parameters
+    ----------
+    url : str
+        Address that was asked.
+    why : str
+        How it failed.
+    """
+
+    def __init__(self, url, why):
+        super().__init__(f"{url} does not answer: {why}")
+        self.url = url
+
+
+class NodeAnswerInvalid(NodeUnreachable):
+    """An admin port answered something else than what it was asked for."""
+
+
+class NoNodeFound(ToolError):
+    """Neither the settings nor the platform name a node that answers."""
+
+
+class WaitTimeout(ToolError):
+    """Some nodes did not enforce a version in time.
+
+    Parameters
+    ----------
+    convergence : Convergence
+        What was seen last.
+    """
+
+    def __init__(self, convergence):
+        super().__init__(
+            f"version {convergence.version} is in force on {convergence.in_force} "
+            f"of {convergence.nodes} nodes"
+        )
+        self.convergence = convergence
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/exit_code.py
@@ -0,0 +1,41 @@
+"""Exit codes of the command line."""
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """Result of a command for programs."""
+
+    OK = 0
+    DIFFERENT = 1
+    INVALID = 2
+    CONFLICT = 3
+    OUTCOME_UNKNOWN = 4
+    PLATFORM_UNAVAILABLE = 5
+    VERSION_NOT_FOUND = 6
+    WAIT_TIMEOUT = 7
+    NODE_UNREACHABLE = 8
+    DECLINED = 9
+    CONTENT_DAMAGED = 10
+    BEHIND = 11
+
+    @property
+    def meaning(self):
+        """What the code says, as one sentence."""
+        return _MEANINGS[self]
+
+
+_MEANINGS = {
+    ExitCode.OK: "The command did what it was asked.",
+    ExitCode.DIFFERENT: "`diff` found a difference.",
+    ExitCode.INVALID: "The command line, settings or catalogue file has mistakes.",
+    ExitCode.CONFLICT: "Another change was accepted first; nothing was changed.",
+    ExitCode.OUTCOME_UNKNOWN: "The change may have been accepted; repeat it by its id.",
+    ExitCode.PLATFORM_UNAVAILABLE: "The platform did not answer; nothing was changed.",
+    ExitCode.VERSION_NOT_FOUND: "There is no such version.",
+    ExitCode.WAIT_TIMEOUT: "Some nodes did not enforce the version in time.",
+    ExitCode.NODE_UNREACHABLE: "No node answered on its admin port.",
+    ExitCode.DECLINED: "The operator did not confirm; nothing was changed.",
+    ExitCode.CONTENT_DAMAGED: "The platform holds content that is not what it names.",
+    ExitCode.BEHIND: "`status` found a node that is behind or does not answer.",
+}
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/failure.py
@@ -0,0 +1,104 @@
+"""Turn a typed error into a short message and an exit code."""
+
+import attrs
+
+from gentianlink.core.errors import (
+    CatalogueError,
+    CatalogueInvalid,
+    CodecError,
+    ObjectNotFound,
+    PlatformError,
+    PlatformOutcomeUnknown,
+    SettingsInvalid,
+    WriteConflict,
+)
+from gentianlink.tools.errors import (
+    BaseMoved,
+    ChangeDeclined,
+    ChangeIdTaken,
+    NodeUnreachable,
+    NoNodeFound,
+    VersionNotFound,
+    WaitTimeout,
+)
+from gentianlink.tools.exit_code import ExitCode
+
+MAX_NAMES_SHOWN = 20
+
+
+@attrs.frozen
+class Failure:
+    """What an operator is told of a failure.
+
+    Attributes
+    ----------
+    code : ExitCode
+        Exit code.
+    lines : tuple of str
+        Lines for people.
+    """
+
+    code: ExitCode
+    lines: tuple[str, ...]
+
+
+def describe_failure(error, change_id=""):
+    """Return what an operator is told of an error.
+
+    Parameters
+    ----------
+    error : GentianlinkError
+        The error.
+    change_id : str, optional
+        Identifier of the change that was tried; empty for a command that reads.
+
+    Returns
+    -------
+    Failure
+        Exit code and message.
+    """
+    if isinstance(error, SettingsInvalid | CatalogueInvalid):
+        lines = tuple(problem.format() for problem in error.problems)
+        return Failure(ExitCode.INVALID, (*lines, str(error)))
+    if isinstance(error, WaitTimeout):
+        return Failure(ExitCode.WAIT_TIMEOUT, _describe_behind(error))
+    if isinstance(error, BaseMoved):
+        return Failure(ExitCode.CONFLICT, _describe_conflict(error))
+    if isinstance(error, PlatformOutcomeUnknown) and change_id:
+        line = f"not known whether accepted: {error}"
+        hint = f"repeat the command with --change-id {change_id} to find out"
+        return Failure(ExitCode.OUTCOME_UNKNOWN, (line, hint))
+    for error_type, code, prefix in _SIMPLE_FAILURES:
+        if isinstance(error, error_type):
+            return Failure(code, (f"{prefix}{error}",))
+    return Failure(ExitCode.INVALID, (str(error),))
+
+
+_SIMPLE_FAILURES = (
+    (VersionNotFound, ExitCode.VERSION_NOT_FOUND, ""),
+    (ChangeIdTaken, ExitCode.CONFLICT, ""),
+    (ChangeDeclined, ExitCode.DECLINED, ""),
+    (NoNodeFound, ExitCode.NODE_UNREACHABLE, ""),
+    (NodeUnreachable, ExitCode.NODE_UNREACHABLE, ""),
+    (WriteConflict, ExitCode.CONFLICT, "another change was accepted first: "),
+    (ObjectNotFound, ExitCode.CONTENT_DAMAGED, "the object store lacks "),
+    (PlatformError, ExitCode.PLATFORM_UNAVAILABLE, "the platform is unavailable: "),
+    (CodecError, ExitCode.CONTENT_DAMAGED, "the platform's content is damaged: "),
+    (CatalogueError, ExitCode.CONTENT_DAMAGED, "the content is damaged: "),
+)
+
+
+def _describe_behind(error):
+    names = error.convergence.behind
+    shown = ", ".join(names[:MAX_NAMES_SHOWN])
+    more = len(names) - MAX_NAMES_SHOWN
+    suffix = f" and {more} more" if more > 0 else ""
+    return (f"{error}", f"behind: {shown}{suffix}")
+
+
+def _describe_conflict(error):
+    lines = [f"not accepted: {error}; accepted since:"]
+    for change in error.changes:
+        lines.append(f"version {change.version} by {change.who}: {change.why}")
+        lines.extend(f"  {line}" for line in change.difference)
+    return tuple(lines)
--- a/packages/tools/src/gentianlink/tools/main.py
+++ b/packages/tools/src/gentianlink/tools/main.py
@@ -2,17 +2,34 @@
 
 import typer
 
-from gentianlink.tools.catalogue_commands import application as catalogue
+from gentianlink.tools.catalogue_commands import make_application as make_catalogue
+from gentianlink.tools.commands.audit import audit
+from gentianlink.tools.commands.explain import explain
+from gentianlink.tools.commands.status import status
 
-application = typer.Typer(no_args_is_help=True, add_completion=False)
-application.add_typer(catalogue, name="catalogue")
+COMMANDS = (status, audit, explain)
 
 
-@application.callback()
-def describe():
-    """Operate gentianlink by its catalogue."""
+def make_application():
+    """Return the command line.
+
+    Returns
+    -------
+    typer.Typer
+        The application.
+    """
+    application = typer.Typer(
+        no_args_is_help=True,
+        add_completion=False,
+        pretty_exceptions_enable=False,
+        help="Operate gentianlink by its catalogue.",
+    )
+    application.add_typer(make_catalogue(), name="catalogue")
+    for command in COMMANDS:
+        application.command()(command)
+    return application
 
 
 def main():
     """Run the command."""
-    application()
+    make_application()()
--- /dev/null
+++ b/packages/tools/src/gentianlink/tools/proposal.py
@@ -0,0 +1,94 @@
+"""Propose a catalogue as the next version."""
+
+import time
+
+import attrs
+
+from gentianlink.core.catalogue import Catalogue
+from gentianlink.core.codec import compute_digest
+from gentianlink.core.errors import WriteConflict
+from gentianlink.platform.change_request import ChangeRequest
+from gentianlink.tools.difference import compute_differences
+from gentianlink.tools.errors import BaseMoved, ChangeIdTaken
+from gentianlink.tools.versions import read_changes
+
+MAX_CHANGES_SHOWN = 20
+
+
+@attrs.frozen
+class Proposal:
+    """A catalogue that an operator wants to become the next version.
+
+    Attributes
+    ----------
+    catalogue : Catalogue
+        Services and entries.
+    request : ChangeRequest
+        Who asks, why, and the change id.
+    base : int or None
+        Version that the operator worked from, None for the last one.
+    """
+
+    catalogue: Catalogue
+    request: ChangeRequest
+    base: int | None
+
+
+async def propose(store, proposal, confirm_change):
+    """Make a catalogue the next version.
+
+    Parameters
+    ----------
+    store : CatalogueStore
+        Accepted versions.
+    proposal : Proposal
+        What the operator wants.
+    confirm_change : callable
+        Called with the last version and the differences before anything is written.
+
+    Returns
+    -------
+    Change or None
+        The audit row, None if nothing differs.
+
+    Raises
+    ------
+    BaseMoved
+        If another change was accepted first.
+    ChangeIdTaken
+        If the change id has made a version of other content.
+    PlatformError
+        If the change was not accepted, or this is unknown.
+    """
+    earlier = await store.find_change(proposal.request.change_id)
+    if earlier is not None:
+        return _check_same(earlier, proposal)
+    head, row = await store.read_head()
+    if proposal.base is not None and proposal.base != head.version:
+        raise await _describe_conflict(store, proposal.base)
+    differences = compute_differences(
+        await store.read_catalogue(head), proposal.catalogue
+    )
+    if not differences:
+        return None
+    confirm_change(head.version, differences)
+    now_ms = time.time_ns() // 1_000_000
+    try:
+        return await store.accept(
+            proposal.catalogue, (head, row), proposal.request, now_ms
+        )
+    except WriteConflict as error:
+        raise await _describe_conflict(store, head.version) from error
+
+
+def _check_same(change, proposal):
+    proposed = attrs.evolve(proposal.catalogue, version=change.version)
+    if compute_digest(proposed) != change.digest:
+        raise ChangeIdTaken(change)
+    return change
+
+
+async def _describe_conflict(store, base):
+    head, _ = await store.read_head()
+    first = max(base, head.version - MAX_CHANGES_SHOWN) + 1
+    return BaseMoved(base, await read_changes(store, first, head.version))
