--- a/packages/core/src/gentianlink/core/codec.py
+++ b/packages/core/src/gentianlink/core/codec.py
@@ -7,6 +7,14 @@
 
 from gentianlink.core.errors import CodecError
 
+_DECODE_ERRORS = (
+    cattrs.BaseValidationError,
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+)
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
 
@@ -49,7 +57,7 @@
     """
     try:
         return _CONVERTER.structure(orjson.loads(data), data_type)
-    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError) as error:
+    except _DECODE_ERRORS as error:
         message = f"not a {data_type.__name__}: {type(error).__name__}"
         raise CodecError(message) from error
 
--- a/packages/parser/src/gentianlink/parser/ini_file.py
+++ b/packages/parser/src/gentianlink/parser/ini_file.py
@@ -94,7 +94,7 @@
             problems.append(Problem(source, "", "", found, "INI text"))
             return IniText({}, tuple(problems))
         except configparser.ParsingError as error:
-            problems.extend(_describe_lines(error, source))
+            problems.extend(_describe_lines(error, lines, source))
             return IniText({}, tuple(problems))
     sections = {
         title: dict(config[title])
@@ -110,11 +110,12 @@
     )
 
 
-def _describe_lines(error, source):
+def _describe_lines(error, lines, source):
     allowed = "[section], key = value, or a comment after #"
+    numbers = [number for number, _ in error.errors]
     return [
-        Problem(source, "", "", f"line {number}: {shorten(line)}", allowed)
-        for number, line in error.errors
+        Problem(source, "", "", f"line {number}: {shorten(lines[number - 1])}", allowed)
+        for number in numbers
     ]
 
 
