--- a/packages/tools/src/gentianlink/tools/command.py
+++ b/packages/tools/src/gentianlink/tools/command.py
@@ -10,15 +10,15 @@
 from gentianlink.tools.failure import describe_failure
 
 
-def run_command(work, change_id=""):
+def run_command(work, request=None):
     """Run a coroutine to its end.
 
     Parameters
     ----------
     work : coroutine
         The work of a command.
-    change_id : str, optional
-        Identifier of the change that it tries.
+    request : ChangeRequest, optional
+        The change that it tries.
 
     Returns
     -------
@@ -33,25 +33,25 @@
     try:
         return asyncio.run(work)
     except GentianlinkError as error:
-        fail(error, change_id)
+        fail(error, request)
 
 
-def fail(error, change_id=""):
+def fail(error, request=None):
     """Print a typed error and exit with its code.
 
     Parameters
     ----------
     error : GentianlinkError
         The error.
-    change_id : str, optional
-        Identifier of the change that was tried.
+    request : ChangeRequest, optional
+        The change that was tried.
 
     Raises
     ------
     typer.Exit
         Always.
     """
-    failure = describe_failure(error, change_id)
+    failure = describe_failure(error, request)
     for line in failure.lines:
         typer.echo(line, err=True)
     raise typer.Exit(failure.code) from error
--- a/packages/tools/src/gentianlink/tools/commands/apply.py
+++ b/packages/tools/src/gentianlink/tools/commands/apply.py
@@ -48,4 +48,4 @@
         named = access.name_operator(request)
         await submit(access, Proposal(catalogue, named, base), options)
 
-    run_command(work(), request.change_id)
+    run_command(work(), request)
--- a/packages/tools/src/gentianlink/tools/commands/test_apply.py
+++ b/packages/tools/src/gentianlink/tools/commands/test_apply.py
@@ -51,7 +51,7 @@
         other = catalogue.replace("800", "900")
         result = operator.apply(other, "--yes", "--change-id", "c1")
         assert result.exit_code == ExitCode.CONFLICT
-        assert "the change id c1 has made version 1" in result.stderr
+        assert "the change id is taken: c1 made version 1" in result.stderr
 
     def test_base_moved(self, operator, catalogue):
         operator.apply(catalogue, "--yes")
@@ -77,14 +77,23 @@
         assert result.exit_code == ExitCode.PLATFORM_UNAVAILABLE
         assert result.stderr == "the platform is unavailable: status 503\n"
 
-    def test_answers_lost(self, operator, catalogue):
+    def test_object_store_loses_answers(self, operator, catalogue):
         operator.set_faults("objects", lose_answers=True)
+        result = operator.apply(catalogue, "--yes")
+        assert result.exit_code == ExitCode.PLATFORM_UNAVAILABLE
+        assert result.stderr == (
+            "the platform is unavailable: "
+            "the platform failed before the head was written\n"
+        )
+
+    def test_repeat_while_the_platform_is_down(self, operator, catalogue):
+        operator.set_faults("table", down=True)
         result = operator.apply(catalogue, "--yes", "--change-id", "c7")
-        assert result.exit_code in (
-            ExitCode.OUTCOME_UNKNOWN,
-            ExitCode.PLATFORM_UNAVAILABLE,
+        assert result.exit_code == ExitCode.OUTCOME_UNKNOWN
+        assert result.stderr == (
+            "not known whether accepted: PlatformUnavailable\n"
+            "repeat the command with --change-id c7 to find out\n"
         )
-        assert "Traceback" not in result.output
 
     def test_wait(self, operator, catalogue):
         answers = [
--- a/packages/tools/src/gentianlink/tools/errors.py
+++ b/packages/tools/src/gentianlink/tools/errors.py
@@ -38,23 +38,6 @@
         self.changes = tuple(changes)
 
 
-class ChangeIdTaken(ToolError):
-    """A change id has already made a version of other content.
-
-    Parameters
-    ----------
-    change : Change
-        Audit row of that version.
-    """
-
-    def __init__(self, change):
-        super().__init__(
-            f"the change id {change.change_id} has made version {change.version}, "
-            "which differs from this file"
-        )
-        self.change = change
-
-
 class ChangeDeclined(ToolError):
     """The operator did not confirm a change."""
 
--- a/packages/tools/src/gentianlink/tools/failure.py
+++ b/packages/tools/src/gentianlink/tools/failure.py
@@ -5,17 +5,17 @@
 from gentianlink.core.errors import (
     CatalogueError,
     CatalogueInvalid,
+    ChangeIdReused,
+    ChangeOutcomeUnknown,
     CodecError,
     ObjectNotFound,
     PlatformError,
-    PlatformOutcomeUnknown,
     SettingsInvalid,
     WriteConflict,
 )
 from gentianlink.tools.errors import (
     BaseMoved,
     ChangeDeclined,
-    ChangeIdTaken,
     NodeUnreachable,
     NoNodeFound,
     VersionNotFound,
@@ -42,15 +42,15 @@
     lines: tuple[str, ...]
 
 
-def describe_failure(error, change_id=""):
+def describe_failure(error, request=None):
     """Return what an operator is told of an error.
 
     Parameters
     ----------
     error : GentianlinkError
         The error.
-    change_id : str, optional
-        Identifier of the change that was tried; empty for a command that reads.
+    request : ChangeRequest, optional
+        The change that was tried; none for a command that reads.
 
     Returns
     -------
@@ -64,9 +64,9 @@
         return Failure(ExitCode.WAIT_TIMEOUT, _describe_behind(error))
     if isinstance(error, BaseMoved):
         return Failure(ExitCode.CONFLICT, _describe_conflict(error))
-    if isinstance(error, PlatformOutcomeUnknown) and change_id:
-        line = f"not known whether accepted: {error}"
-        hint = f"repeat the command with --change-id {change_id} to find out"
+    if request is not None and _may_take_effect(error, request):
+        line = f"not known whether accepted: {type(error).__name__}"
+        hint = f"repeat the command with --change-id {request.change_id} to find out"
         return Failure(ExitCode.OUTCOME_UNKNOWN, (line, hint))
     for error_type, code, prefix in _SIMPLE_FAILURES:
         if isinstance(error, error_type):
@@ -74,9 +74,17 @@
     return Failure(ExitCode.INVALID, (str(error),))
 
 
+def _may_take_effect(error, request):
+    if isinstance(error, WriteConflict | ObjectNotFound):
+        return False
+    if isinstance(error, ChangeOutcomeUnknown):
+        return True
+    return request.is_repeat and isinstance(error, PlatformError)
+
+
 _SIMPLE_FAILURES = (
     (VersionNotFound, ExitCode.VERSION_NOT_FOUND, ""),
-    (ChangeIdTaken, ExitCode.CONFLICT, ""),
+    (ChangeIdReused, ExitCode.CONFLICT, "the change id is taken: "),
     (ChangeDeclined, ExitCode.DECLINED, ""),
     (NoNodeFound, ExitCode.NODE_UNREACHABLE, ""),
     (NodeUnreachable, ExitCode.NODE_UNREACHABLE, ""),
--- a/packages/tools/src/gentianlink/tools/proposal.py
+++ b/packages/tools/src/gentianlink/tools/proposal.py
@@ -6,10 +6,10 @@
 
 from gentianlink.core.catalogue import Catalogue
 from gentianlink.core.codec import compute_digest
-from gentianlink.core.errors import WriteConflict
+from gentianlink.core.errors import ChangeConflict, ChangeIdReused
 from gentianlink.platform.change_request import ChangeRequest
 from gentianlink.tools.difference import compute_differences
-from gentianlink.tools.errors import BaseMoved, ChangeIdTaken
+from gentianlink.tools.errors import BaseMoved
 from gentianlink.tools.versions import read_changes
 
 MAX_CHANGES_SHOWN = 20
@@ -55,20 +55,26 @@
     ------
     BaseMoved
         If another change was accepted first.
-    ChangeIdTaken
+    ChangeIdReused
         If the change id has made a version of other content.
     PlatformError
         If the change was not accepted, or this is unknown.
     """
-    earlier = await store.find_change(proposal.request.change_id)
+    earlier = await _find_earlier(store, proposal)
     if earlier is not None:
-        return _check_same(earlier, proposal)
+        return earlier
     head, row = await store.read_head()
-    if proposal.base is not None and proposal.base != head.version:
-        raise await _describe_conflict(store, proposal.base)
     differences = compute_differences(
         await store.read_catalogue(head), proposal.catalogue
     )
+    is_moved = proposal.base is not None and proposal.base != head.version
+    if is_moved or not differences:
+        # The earlier request may have taken effect since it was looked for.
+        earlier = await _find_earlier(store, proposal)
+        if earlier is not None:
+            return earlier
+    if is_moved:
+        raise await _describe_conflict(store, proposal.base)
     if not differences:
         return None
     confirm_change(head.version, differences)
@@ -77,15 +83,21 @@
         return await store.accept(
             proposal.catalogue, (head, row), proposal.request, now_ms
         )
-    except WriteConflict as error:
-        raise await _describe_conflict(store, head.version) from error
+    except ChangeConflict as error:
+        raise BaseMoved(head.version, error.changes or ()) from error
+
+
+async def _find_earlier(store, proposal):
+    change = await store.find_change(proposal.request.change_id)
+    if change is not None:
+        _check_same(change, proposal)
+    return change
 
 
 def _check_same(change, proposal):
     proposed = attrs.evolve(proposal.catalogue, version=change.version)
     if compute_digest(proposed) != change.digest:
-        raise ChangeIdTaken(change)
-    return change
+        raise ChangeIdReused(change)
 
 
 async def _describe_conflict(store, base):
--- a/packages/tools/src/gentianlink/tools/submission.py
+++ b/packages/tools/src/gentianlink/tools/submission.py
@@ -39,6 +39,8 @@
 def make_request(change_id, who, why):
     """Return a request for a change, with a new id if none is given.
 
+    A given id may be that of an earlier request which can still take effect.
+
     Parameters
     ----------
     change_id : str
@@ -53,7 +55,8 @@
     ChangeRequest
         The request.
     """
-    return ChangeRequest(change_id or str(uuid.uuid4()), who, why)
+    is_repeat = bool(change_id)
+    return ChangeRequest(change_id or str(uuid.uuid4()), who, why, is_repeat)
 
 
 async def submit(access, proposal, options):
