Test the node as a process: stop, second signal, reload, port in use

A call of 1.5 s in flight during SIGTERM returns whole, readiness is false and targets are told meanwhile, and the exit code is 0. A second signal ends the process at once with code 1. A port in use ends it with code 3 and one line without a traceback; the mesh server now starts last, since its tasks failed with a traceback when a later port was in use.

--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -204,15 +204,13 @@
 
     async def _start_servers(self):
         listen = self._settings.listen
-        with report_listen_failure("mesh_port", listen):
-            mesh_server = await start_mesh_server(
-                self._mesh, listen.address, listen.mesh_port
-            )
         with report_listen_failure("admin_port", listen):
             start_admin_server(self, listen.address, listen.admin_port)
         with report_listen_failure("call_port", listen):
             self._calls.listen(listen.address, listen.call_port)
-        return mesh_server
+        # Last, as this server has tasks that a failure of the others would strand.
+        with report_listen_failure("mesh_port", listen):
+            return await start_mesh_server(self._mesh, listen.address, listen.mesh_port)
 
     async def _stop(self, mesh_server):
         _LOG.info("node stopping", in_flight=self._calls.in_flight)
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -0,0 +1,180 @@
+import asyncio
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from gentianlink.core.announcement import Announcement
+from gentianlink.core.codec import encode
+from gentianlink.node.exit_code import NodeExitCode
+from gentianlink.testing.demo import apply_catalogue, get_status, wait_for
+from gentianlink.testing.fleet import NODE_SETTINGS, Fleet, get_free_ports
+
+CATALOGUE = """\
+[service inquiry]
+owner = branch
+[entry balance]
+owner = branch
+service = inquiry
+class = at-most-once
+route = /inquiry/balance
+deadline_ms = 20000
+"""
+SLOW_MS = 1500
+VERY_SLOW_MS = 15_000
+KILL_BOUND_S = 3
+ADDRESS = "127.0.0.1"
+
+
+class Process:
+    """One real node with its target and the platform stand-in."""
+
+    def __init__(self, directory):
+        self.fleet = Fleet("kingston")
+        self._catalogue = directory / "catalogue.ini"
+        self._catalogue.write_text(CATALOGUE)
+        self.fleet.start_platform()
+        self.member = self.fleet.add_member("inquiry", 1, 1)
+        self.fleet.start_node(self.member)
+
+    async def start(self, work_ms):
+        self.fleet.start_target(self.member, slots=2, work_ms=work_ms)
+        await wait_for([self.member], lambda status: status["ready"])
+        await asyncio.to_thread(apply_catalogue, self.fleet, self._catalogue, "test")
+        await wait_for(
+            [self.member], lambda status: list(status["endpoints"].values()) == [1]
+        )
+
+    async def begin_call(self):
+        call = AsyncHTTPClient().fetch(
+            self.member.call_url + "/inquiry/balance",
+            method="POST",
+            body=b"{}",
+            headers={"Idempotency-Key": "k1", "X-Request-Id": "r1"},
+            request_timeout=30,
+            raise_error=False,
+        )
+        task = asyncio.ensure_future(call)
+        await wait_for([self.member], lambda status: status["in_flight"] == 1)
+        return task
+
+    async def ask(self, path, method="GET", body=None):
+        response = await AsyncHTTPClient().fetch(
+            self.member.admin_url + path, method=method, body=body, raise_error=False
+        )
+        return response.code, json.loads(response.body)
+
+    async def wait_until_not_ready(self):
+        while (await self.ask("/readyz"))[0] != 503:
+            await asyncio.sleep(0.01)
+
+    def signal(self, number):
+        self.member.node.send_signal(number)
+
+    def wait(self, timeout_s):
+        return asyncio.to_thread(self.member.node.wait, timeout_s)
+
+
+@pytest.fixture
+def process(tmp_path):
+    process = Process(tmp_path)
+    yield process
+    if process.member.target is not None:
+        process.member.target.kill()
+    process.fleet.stop()
+
+
+async def run_graceful_stop(process):
+    await process.start(SLOW_MS)
+    call = await process.begin_call()
+    process.signal(signal.SIGTERM)
+    await process.wait_until_not_ready()
+    heartbeat = Announcement("inquiry", "target-inquiry-1", 1, 2, "ready")
+    target_answer = await process.ask("/v1/targets", "POST", encode(heartbeat))
+    response = await call
+    assert await process.wait(10) == NodeExitCode.STOPPED
+    return target_answer, response
+
+
+async def run_second_signal(process):
+    await process.start(VERY_SLOW_MS)
+    call = await process.begin_call()
+    process.signal(signal.SIGTERM)
+    await process.wait_until_not_ready()
+    process.signal(signal.SIGTERM)
+    code = await process.wait(KILL_BOUND_S)
+    with pytest.raises(HTTPStreamClosedError):
+        await call
+    return code
+
+
+async def run_reload(process):
+    await wait_for([process.member], lambda status: status["ready"])
+    path = pathlib.Path(process.fleet.log_path).parent / "inquiry-1.ini"
+    path.write_text(path.read_text() + "[log]\nlevel = debug\nformat = console\n")
+    process.signal(signal.SIGHUP)
+    while "settings read again" not in process.fleet.log_path.read_text():
+        await asyncio.sleep(0.02)
+    assert (await get_status(process.member))["ready"]
+    path.write_text("nonsense")
+    return await process.ask("/v1/reload", "POST", b"")
+
+
+def run_node_on(directory, ports):
+    """Run a node until it ends by itself; return its exit code and its output."""
+    names = ("call_port", "mesh_port", "admin_port")
+    values = dict(zip(names, ports, strict=True))
+    text = NODE_SETTINGS.format(
+        node_id="n1",
+        region="kingston",
+        data_centre="kingston-1",
+        address=ADDRESS,
+        platform_url="http://127.0.0.1:1",
+        **values,
+    )
+    path = directory / "n1.ini"
+    path.write_text(text)
+    binary = pathlib.Path(sys.executable).parent / "gentianlink-node"
+    result = subprocess.run(
+        [str(binary), str(path)], capture_output=True, text=True, timeout=20
+    )
+    return result.returncode, result.stderr
+
+
+class TestNodeProcess:
+    def test_call_in_flight_survives_the_stop(self, process):
+        target_answer, response = asyncio.run(run_graceful_stop(process))
+        status, answer = target_answer
+        assert (status, answer["draining"]) == (200, True)
+        assert response.code == 200
+        assert json.loads(response.body) == {"target": "target-inquiry-1", "echo": "r1"}
+
+    def test_second_signal_ends_at_once(self, process):
+        assert asyncio.run(run_second_signal(process)) == NodeExitCode.KILLED
+
+    def test_hangup_reads_the_settings_again(self, process):
+        status, answer = asyncio.run(run_reload(process))
+        assert (status, answer["type"]) == (422, "SettingsInvalid")
+        text = process.fleet.log_path.read_text()
+        assert "applied=('log.level', 'log.format') needs_restart=()" in text
+
+    @pytest.mark.parametrize("place", [0, 1, 2])
+    def test_port_in_use(self, tmp_path, place):
+        ports = get_free_ports(ADDRESS, 3)
+        with socket.socket() as taken:
+            taken.bind((ADDRESS, ports[place]))
+            taken.listen()
+            code, output = run_node_on(tmp_path, ports)
+        assert code == NodeExitCode.CANNOT_LISTEN
+        key = ("call_port", "mesh_port", "admin_port")[place]
+        lines = output.splitlines()
+        assert (
+            f"[listen] {key}: can't listen on 127.0.0.1:{ports[place]}: " in lines[-1]
+        )
+        assert "Traceback" not in output
