--- a/packages/core/src/gentianlink/core/reason.py
+++ b/packages/core/src/gentianlink/core/reason.py
@@ -6,6 +6,7 @@
 class Reason(enum.Enum):
     """Why a call was refused or has an unknown outcome."""
 
+    BAD_REQUEST = "bad-request"
     NO_ROUTE = "no-route"
     NO_TARGET = "no-target"
     BAD_DEADLINE = "bad-deadline"
@@ -13,6 +14,9 @@
     KEY_REQUIRED = "key-required"
     KEY_REUSED = "key-reused"
     KEY_IN_PROGRESS = "key-in-progress"
+    KEY_EXPIRED = "key-expired"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     BODY_TOO_LARGE = "body-too-large"
     RATE_LIMIT = "rate-limit"
     CONCURRENCY_LIMIT = "concurrency-limit"
@@ -25,3 +29,6 @@
     TARGET_LOST = "target-lost"
     TARGET_SILENT = "target-silent"
     WRONG_NODE = "wrong-node"
+    TARGET_SHED = "target-shed"
+    BAD_ANSWER = "bad-answer"
+    CONNECTION_LIMIT = "connection-limit"
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -11,7 +11,11 @@
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
+from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
@@ -37,6 +41,8 @@
 
 _LOG = get_logger("node")
 
+CANNOT_BIND = "the port is in use, or the address is not this instance's"
+AVOIDED = "avoided after failed calls of this node"
 EXPIRE_PERIOD_S = 0.2
 JOIN_SCAN_ROWS = 64
 
@@ -72,10 +78,30 @@
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        self._claims = AtMostOnce(self._platform_table, own_record)
-        dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
+        self._claim_counts = ClaimCounts()
+        self._claims = AtMostOnce.from_settings(
+            settings.claims,
+            own_record,
+            self._platform_table,
+            self._claim_counts,
+            make_is_live(self._membership),
+        )
+        dispatcher = Dispatcher(
+            self._local_targets,
+            self._pool,
+            self._claims,
+            settings.calls.silence_timeout_ms,
+        )
         self._load = LoadView()
-        router = Router(own_record, dispatcher, self._pool, self._load)
+        self._health = EndpointHealth()
+        router = Router(
+            own_record,
+            dispatcher,
+            self._pool,
+            self._load,
+            self._health,
+            settings.calls.silence_timeout_ms,
+        )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
         self._metrics = NodeMetrics()
 
@@ -133,6 +159,8 @@
             },
             platform_reads=self._platform_table.reads,
             platform_writes=self._platform_table.writes,
+            claims=self._claim_counts.get_all(),
+            claims_pending=self._claims.pending,
         )
 
     def get_nodes(self):
@@ -159,9 +187,13 @@
             self._membership.nodes,
             self._membership.targets.values(),
             self._load.get_load,
-            lambda target_id: "",
+            self._get_avoidance,
         )
 
+    def _get_avoidance(self, target_id):
+        is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
+        return AVOIDED if is_avoided else ""
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
@@ -196,6 +228,7 @@
             self._run_expiry(),
             self._publish_own_row(),
             self._publish_admin_row(),
+            self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
@@ -220,6 +253,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        self._calls.close()
         await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
@@ -250,9 +284,20 @@
 
     async def _run_expiry(self):
         while True:
-            self._local_targets.expire(get_monotonic_ms())
+            now_ms = get_monotonic_ms()
+            self._local_targets.expire(now_ms)
+            self._pool.sweep(now_ms)
+            self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
+    async def _run_cleaner(self):
+        settings = self._settings.claims
+        cleaner = Cleaner.from_settings(
+            settings, self._platform_table, self._claim_counts
+        )
+        is_cleaner = make_is_cleaner(self._membership)
+        await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
+
     async def _publish_own_row(self):
         own = self._membership.own_record
         key = get_node_key(own.data_centre, own.node_id)
@@ -296,7 +341,7 @@
     try:
         yield
     except (OSError, RuntimeError) as error:
-        why = getattr(error, "strerror", None) or str(error)
+        why = getattr(error, "strerror", None) or CANNOT_BIND
         port = getattr(listen, key)
         raise ListenFailed(key, listen.address, port, why) from error
 
--- a/packages/node/src/gentianlink/node/proxy/refusal.py
+++ b/packages/node/src/gentianlink/node/proxy/refusal.py
@@ -6,17 +6,22 @@
 from gentianlink.core.reason import Reason
 
 STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
     Reason.NO_ROUTE: 404,
     Reason.BAD_DEADLINE: 400,
     Reason.BAD_KEY: 400,
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_REUSED: 422,
     Reason.KEY_IN_PROGRESS: 409,
+    Reason.KEY_EXPIRED: 410,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 409,
     Reason.BODY_TOO_LARGE: 413,
     Reason.RATE_LIMIT: 429,
     Reason.CONCURRENCY_LIMIT: 429,
     Reason.DEADLINE_PASSED: 504,
     Reason.TARGET_LOST: 502,
+    Reason.BAD_ANSWER: 502,
     Reason.TARGET_SILENT: 504,
 }
 STATUS_UNAVAILABLE = 503
@@ -34,13 +39,36 @@
         Whether the call truly was not run, or this is unknown.
     retry_after_ms : int
         Time after which another try is worth it; 0 if it never is.
+    attempts : int
+        Attempts that were made, also by nodes further down the chain.
     """
 
     reason: Reason
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_ms: int = 0
+    attempts: int = 1
 
     @property
     def status(self):
         """HTTP status of the answer."""
         return STATUS_BY_REASON.get(self.reason, STATUS_UNAVAILABLE)
+
+
+def combine_refusals(earlier, later):
+    """Return what to say of a call after a later attempt.
+
+    Parameters
+    ----------
+    earlier : Refusal or None
+        Result of the earlier attempts; None before the first.
+    later : Refusal or None
+        Result of the later attempt.
+
+    Returns
+    -------
+    Refusal or None
+        The later one. It says "not run" only if no earlier attempt may have run.
+    """
+    if earlier is None or later is None or earlier.outcome is not Outcome.UNKNOWN:
+        return later
+    return attrs.evolve(later, outcome=Outcome.UNKNOWN)
--- a/packages/testing/src/gentianlink/testing/test_node_process.py
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -14,7 +14,8 @@
 from gentianlink.core.codec import encode
 from gentianlink.node.exit_code import NodeExitCode
 from gentianlink.testing.demo import apply_catalogue, get_status, wait_for
-from gentianlink.testing.fleet import NODE_SETTINGS, Fleet, get_free_ports
+from gentianlink.testing.fleet import NODE_SETTINGS, Fleet
+from gentianlink.testing.loopback import get_own_address, get_ports
 
 CATALOGUE = """\
 [service inquiry]
@@ -29,7 +30,7 @@
 SLOW_MS = 1500
 VERY_SLOW_MS = 15_000
 KILL_BOUND_S = 3
-ADDRESS = "127.0.0.1"
+ADDRESS = get_own_address(1)
 
 
 class Process:
@@ -166,7 +167,7 @@
 
     @pytest.mark.parametrize("place", [0, 1, 2])
     def test_port_in_use(self, tmp_path, place):
-        ports = get_free_ports(ADDRESS, 3)
+        ports = get_ports(3)
         with socket.socket() as taken:
             taken.bind((ADDRESS, ports[place]))
             taken.listen()
@@ -175,6 +176,6 @@
         key = ("call_port", "mesh_port", "admin_port")[place]
         lines = output.splitlines()
         assert (
-            f"[listen] {key}: can't listen on 127.0.0.1:{ports[place]}: " in lines[-1]
+            f"[listen] {key}: can't listen on {ADDRESS}:{ports[place]}: " in lines[-1]
         )
         assert "Traceback" not in output
