Refuse calls that are still arriving when a node stops

A call whose body was still arriving when the node had drained was cut without an answer: only calls read whole were waited for. They are refused now, not run, before the connections are closed.

--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -252,6 +252,7 @@
         await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
         self._is_stopping = True
         self._calls.stop_listening()
+        self._calls.refuse_arriving()
         await self._calls.wait_idle()
         self._calls.close()
         await self._claims.wait_idle()
--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -59,6 +59,7 @@
         self.start_line = start_line
         self.headers = headers
         self._started_ms = get_monotonic_ms()
+        self._server.begin_arrival(self)
         if "Content-Length" not in headers and "Transfer-Encoding" not in headers:
             return None
         refusal = self._server.check(self)
@@ -118,11 +119,24 @@
             self._start()
         self.connection.set_close_callback(self.on_connection_close)
 
+    def refuse(self, refusal):
+        """Answer before the whole request has arrived.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The answer.
+        """
+        self.refusal = refusal
+        self._start()
+
     def _start(self):
+        self._server.end_arrival(self)
         self._task = self._server.start_call(self)
 
     def on_connection_close(self):
         """Cancel the call of a caller that has gone."""
+        self._server.end_arrival(self)
         if self._stream is not None:
             self._stream.fail()
         if self._task is not None:
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -57,6 +57,7 @@
         self._is_ready = is_ready
         self._limiter = EntryLimiter()
         self._tasks = set()
+        self._arriving = set()
         self._streams = {}
         self._outcomes = dict.fromkeys(Outcome, 0)
         self._stop_accepting = []
@@ -142,6 +143,14 @@
             if now_ms - active_ms >= MAX_IDLE_MS and not stream.is_answer_due:
                 stream.close()
 
+    def begin_arrival(self, reader):
+        """Note that a call has begun to arrive."""
+        self._arriving.add(reader)
+
+    def end_arrival(self, reader):
+        """Note that a call was handed on, or that its connection was lost."""
+        self._arriving.discard(reader)
+
     def start_call(self, reader):
         """Handle a call in a task of its own.
 
@@ -254,6 +263,11 @@
             stop()
         self._stop_accepting.clear()
 
+    def refuse_arriving(self):
+        """Refuse the calls whose bodies are still arriving."""
+        for reader in list(self._arriving):
+            reader.refuse(Refusal(Reason.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS))
+
     async def wait_idle(self):
         """Wait until no call is in flight."""
         while self._tasks:
--- a/packages/testing/src/gentianlink/testing/test_node_process.py
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -103,6 +103,33 @@
     return target_answer, response
 
 
+async def run_stop_during_upload(process):
+    await process.start(work_ms=1)
+    member = process.member
+    reader, writer = await asyncio.open_connection(member.address, member.call_port)
+    writer.write(b"POST /inquiry/balance HTTP/1.1\r\nHost: a\r\n")
+    writer.write(b"Idempotency-Key: k1\r\nContent-Length: 2\r\n\r\n{")
+    await writer.drain()
+    await process.ask("/healthz")
+    process.signal(signal.SIGTERM)
+    await wait_until_refused(member.address, member.call_port)
+    writer.write(b"}")
+    head = await reader.readuntil(b"\r\n\r\n")
+    code = await process.wait(10)
+    writer.close()
+    return head.decode().lower(), code
+
+
+async def wait_until_refused(address, port):
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(address, port)
+        except ConnectionRefusedError:
+            return
+        writer.close()
+        await asyncio.sleep(0.02)
+
+
 async def run_second_signal(process):
     await process.start(VERY_SLOW_MS)
     call = await process.begin_call()
@@ -156,6 +183,11 @@
         assert response.code == 200
         assert json.loads(response.body) == {"target": "target-inquiry-1", "echo": "r1"}
 
+    def test_call_that_is_still_arriving_is_answered(self, process):
+        head, code = asyncio.run(run_stop_during_upload(process))
+        assert "x-gentianlink-outcome: not-run" in head
+        assert code == NodeExitCode.STOPPED
+
     def test_second_signal_ends_at_once(self, process):
         assert asyncio.run(run_second_signal(process)) == NodeExitCode.KILLED
 
