--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,6 +1,7 @@
 """Put the parts of a node together, run them, and stop them gracefully."""
 
 import asyncio
+import contextlib
 import random
 
 from gentianlink.core.codec import encode
@@ -15,6 +16,7 @@
 from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.endpoint_health import EndpointHealth
+from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
@@ -35,6 +37,8 @@
 from gentianlink.node.proxy.server import CallServer
 from gentianlink.node.report_collector import ReportCollector
 from gentianlink.node.table_builder import TableBuilder
+from gentianlink.ops.explain import explain_call
+from gentianlink.platform.admin_rows import write_admin_address
 from gentianlink.platform.catalogue_store import CatalogueStore
 from gentianlink.platform.node_rows import read_node_addresses, write_node_address
 from gentianlink.platform.object_client import ObjectClient
@@ -42,6 +46,8 @@
 
 _LOG = get_logger("node")
 
+CANNOT_BIND = "the port is in use, or the address is not this instance's"
+AVOIDED = "avoided after failed calls of this node"
 EXPIRE_PERIOD_S = 0.2
 FETCH_CHECK_S = 0.1
 JOIN_ATTEMPTS_BEFORE_SCAN = 2
@@ -58,10 +64,14 @@
     ----------
     settings : Settings
         Checked settings.
+    reload_settings : callable
+        Reads the settings again and returns a :class:`ReloadReport`.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, reload_settings):
         self._settings = settings
+        self.reload_settings = reload_settings
+        self._is_draining = False
         self._is_stopping = False
         self._is_build_due = False
         self._tasks = []
@@ -116,21 +126,23 @@
             self._claims,
             settings.calls.silence_timeout_ms,
         )
+        self._load = LoadView()
+        self._health = EndpointHealth()
         router = Router(
             own_record,
             dispatcher,
             self._pool,
-            LoadView(),
-            EndpointHealth(),
+            self._load,
+            self._health,
             settings.calls.silence_timeout_ms,
         )
-        self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
+        self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
         self._metrics = NodeMetrics()
 
     @classmethod
-    def from_settings(cls, settings):
+    def from_settings(cls, settings, reload_settings):
         """Return a node for checked settings."""
-        return cls(settings)
+        return cls(settings, reload_settings)
 
     @property
     def applied(self):
@@ -142,12 +154,21 @@
         """Targets beside this node."""
         return self._local_targets
 
+    @property
+    def is_draining(self):
+        """Whether this node has been asked to stop."""
+        return self._is_draining
+
     def get_table(self):
         """Return the current routing table."""
         return self._table_builder.table
 
     def is_ready(self):
-        """Return whether this node may serve calls."""
+        """Return whether this node wants new calls."""
+        return self.is_serving() and not self._is_draining
+
+    def is_serving(self):
+        """Return whether this node serves the calls that arrive."""
         return self._applied.is_current and not self._is_stopping
 
     def get_status(self):
@@ -191,6 +212,37 @@
         """Return how far a version is in force over all live nodes."""
         return await self._convergence.compute(version)
 
+    def get_nodes(self):
+        """Return the records of all nodes that this node knows."""
+        return list(self._membership.nodes.values())
+
+    def explain(self, path):
+        """Return what this node would do with a call.
+
+        Parameters
+        ----------
+        path : str
+            Path of the call without its query.
+
+        Returns
+        -------
+        Explanation
+            Entry, limits and endpoints with the reasons.
+        """
+        return explain_call(
+            path,
+            self.get_table(),
+            self._membership.own_record,
+            self._membership.nodes,
+            self._membership.targets.values(),
+            self._load.get_load,
+            self._get_avoidance,
+        )
+
+    def _get_avoidance(self, target_id):
+        is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
+        return AVOIDED if is_avoided else ""
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
@@ -233,12 +285,7 @@
         stop_requested : asyncio.Event
             Set when the node should stop.
         """
-        listen = self._settings.listen
-        mesh_server = await start_mesh_server(
-            self._mesh, self._collector, listen.address, listen.mesh_port
-        )
-        start_admin_server(self, listen.address, listen.admin_port)
-        self._calls.listen(listen.address, listen.call_port)
+        mesh_server = await self._start_servers()
         for work in (
             self._reader.run(),
             self._run_topology(),
@@ -247,6 +294,7 @@
             self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._publish_admin_row(),
             self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
@@ -254,12 +302,26 @@
         await stop_requested.wait()
         await self._stop(mesh_server)
 
+    async def _start_servers(self):
+        listen = self._settings.listen
+        with report_listen_failure("admin_port", listen):
+            start_admin_server(self, listen.address, listen.admin_port)
+        with report_listen_failure("call_port", listen):
+            self._calls.listen(listen.address, listen.call_port)
+        # Last, as this server has tasks that a failure of the others would strand.
+        with report_listen_failure("mesh_port", listen):
+            return await start_mesh_server(
+                self._mesh, self._collector, listen.address, listen.mesh_port
+            )
+
     async def _stop(self, mesh_server):
-        _LOG.info("node stopping")
+        _LOG.info("node stopping", in_flight=self._calls.in_flight)
+        self._is_draining = True
         self._local_targets.drain_all(get_monotonic_ms())
         await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
         self._is_stopping = True
         self._calls.stop_listening()
+        self._calls.refuse_arriving()
         await self._calls.wait_idle()
         self._calls.close()
         await self._claims.wait_idle()
@@ -339,6 +401,42 @@
                 attempt += 1
             await asyncio.sleep(wait_ms / 1000)
 
+    async def _publish_admin_row(self):
+        own = self._membership.own_record
+        address = f"{own.address}:{own.admin_port}"
+        while True:
+            try:
+                await write_admin_address(
+                    self._platform_table, own.data_centre, own.node_id, address
+                )
+                return
+            except PlatformError:
+                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+
+
+@contextlib.contextmanager
+def report_listen_failure(key, listen):
+    """Turn the failure to listen on a port into a typed error.
+
+    Parameters
+    ----------
+    key : str
+        Key of the port.
+    listen : ListenSettings
+        Addresses of this node.
+
+    Raises
+    ------
+    ListenFailed
+        If the block fails to listen.
+    """
+    try:
+        yield
+    except (OSError, RuntimeError) as error:
+        why = getattr(error, "strerror", None) or CANNOT_BIND
+        port = getattr(listen, key)
+        raise ListenFailed(key, listen.address, port, why) from error
+
 
 def make_own_record(settings, now_ms):
     """Return the record of this node.
