--- a/packages/testing/src/gentianlink/testing/soak/load.py
+++ b/packages/testing/src/gentianlink/testing/soak/load.py
@@ -13,7 +13,7 @@
 
 CALL_TIMEOUT_S = 5.0
 MAX_CLIENTS = 500
-REPLAYED = "X-Gentianlink-Replayed"
+
 NEVER_SENT = "never-sent"
 REPEAT_SHARE = 0.2
 
@@ -57,7 +57,7 @@
         outcome = response.headers.get(names.OUTCOME, "")
         reason = response.headers.get(names.REASON, "")
         version = int(response.headers.get(names.VERSION, "0"))
-        replayed = REPLAYED in response.headers
+        replayed = names.REPLAY in response.headers
         echo = _get_echo(response.body)
     except ConnectionRefusedError:
         outcome = NEVER_SENT
