--- a/packages/platform/src/gentianlink/platform/node_rows.py
+++ b/packages/platform/src/gentianlink/platform/node_rows.py
@@ -14,11 +14,26 @@
 MAX_ROWS_READ = 64
 
 
-def get_node_row_key(data_centre, node_id):
-    """Return the key of the row that a node writes."""
+def get_row_key(prefix, data_centre, node_id):
+    """Return the key of the row that a node writes.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the kind of rows.
+    data_centre : str
+        Data centre of the node.
+    node_id : str
+        Name of the node.
+
+    Returns
+    -------
+    str
+        One of `ROWS_PER_DATA_CENTRE` keys of the data centre.
+    """
     digest = hashlib.blake2b(node_id.encode(), digest_size=4).digest()
     number = int.from_bytes(digest, "big") % ROWS_PER_DATA_CENTRE
-    return f"{NODE_PREFIX}{number:03d}/{data_centre}"
+    return f"{prefix}{number:03d}/{data_centre}"
 
 
 async def write_node_address(table, data_centre, node_id, address):
@@ -40,7 +55,7 @@
     PlatformError
         If no answer came.
     """
-    await table.transact([(get_node_row_key(data_centre, node_id), address)])
+    await table.transact([(get_row_key(NODE_PREFIX, data_centre, node_id), address)])
 
 
 async def read_node_addresses(table, rng=random):
