--- a/packages/node/src/gentianlink/node/mesh/test_version_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/test_version_exchange.py
@@ -10,7 +10,12 @@
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.mesh import mesh_pb2
-from gentianlink.node.mesh.version_exchange import RETRY_USELESS_MS, VersionExchange
+from gentianlink.node.mesh.version_exchange import (
+    MAX_CONTENT_BYTES,
+    RETRY_USELESS_MS,
+    TOO_LARGE_WAIT_MS,
+    VersionExchange,
+)
 from gentianlink.node.mesh.version_fetch import FETCH_TIMEOUT_MS, RETRY_SILENT_MS
 from gentianlink.ops.delta import compute_delta
 
@@ -149,6 +154,14 @@
         node.exchange.handle_fetch(0, node.links[2], 1100)
         assert node.take() == {"c": [("content", 1, 1, 0)]}
 
+    def test_snapshot_too_large_for_a_message_is_left_to_the_object_store(self):
+        giver = Neighbour()
+        service = Service("inquiry", "x" * MAX_CONTENT_BYTES)
+        large = Catalogue(1, (service,))
+        giver.applied.apply_snapshot(1, compute_digest(large), encode(large), 0)
+        giver.exchange.handle_fetch(0, giver.links[0], 0)
+        assert giver.take() == {"a": [("busy", TOO_LARGE_WAIT_MS + 1)]}
+
     def test_only_one_neighbour_is_asked(self, node):
         node.hear(2, node.links[0])
         node.hear(2, node.links[1])
--- a/packages/node/src/gentianlink/node/mesh/version_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/version_exchange.py
@@ -14,6 +14,8 @@
 _LOG = get_logger("mesh")
 
 RETRY_USELESS_MS = 10_000
+MAX_CONTENT_BYTES = 3 << 20
+TOO_LARGE_WAIT_MS = 60_000
 
 
 class VersionExchange:
@@ -87,13 +89,27 @@
         if deltas:
             self._send_deltas(link, deltas)
             return
+        if self._is_too_large():
+            self._send_busy(link, TOO_LARGE_WAIT_MS)
+            return
         wait_ms = self._limit.admit(now_ms)
         if wait_ms:
-            busy = mesh_pb2.Busy(wait_ms=int(wait_ms) + 1)
-            link.send(mesh_pb2.Frame(busy=busy))
+            self._send_busy(link, wait_ms)
             return
         self._send_snapshots(link)
 
+    def _is_too_large(self):
+        """Return whether a neighbour must read the object store instead."""
+        sizes = {
+            held.version: len(held.data)
+            for held in (self._applied.in_force, self._applied.latest)
+        }
+        return sum(sizes.values()) > MAX_CONTENT_BYTES
+
+    def _send_busy(self, link, wait_ms):
+        busy = mesh_pb2.Busy(wait_ms=int(wait_ms) + 1)
+        link.send(mesh_pb2.Frame(busy=busy))
+
     def handle_busy(self, busy, link, links, now_ms):
         """Ask another neighbour, and this one after its wait."""
         wait_ms = busy.wait_ms * self._rng.uniform(1, 2)
