--- a/packages/platform/src/gentianlink/platform/http.py
+++ b/packages/platform/src/gentianlink/platform/http.py
@@ -39,7 +39,7 @@
     PlatformUnavailable
         If the request never reached the platform or was refused.
     PlatformOutcomeUnknown
-        If no answer came, or one that does not say whether the request took effect.
+        If no answer came.
     """
     client = AsyncHTTPClient(max_body_size=MAX_ANSWER_BYTES, max_clients=100)
     request = HTTPRequest(
