--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -0,0 +1,158 @@
+"""At-most-once execution under faults of real processes: two nodes, two targets."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from gentianlink.core import headers as names
+from gentianlink.testing.demo import CATALOGUE, apply_catalogue, has_version, wait_for
+from gentianlink.testing.faults import Faults
+from gentianlink.testing.fleet import Fleet
+from gentianlink.testing.soak.platform_faults import set_faults
+
+PATH = "/redemption/redeem"
+WORK_MS = 300.0
+SETTLE_BOUND_S = 15.0
+CLIENT_TIMEOUT_S = 10.0
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet("kingston")
+    fleet.start_platform()
+    for number in (1, 2):
+        member = fleet.add_member("redemption", number, number)
+        fleet.start_node(member)
+        fleet.start_target(member, slots=10, work_ms=WORK_MS)
+    yield fleet
+    fleet.stop()
+
+
+async def start(fleet):
+    await wait_for(fleet.members, lambda status: status["ready"])
+    apply_catalogue(fleet, CATALOGUE, "test")
+    await wait_for(fleet.members, has_version(1))
+    await wait_for(fleet.members, lambda status: status["endpoints"].get(PATH) == 2)
+
+
+async def submit(member, key, deadline_ms=2000):
+    response = await AsyncHTTPClient().fetch(
+        member.call_url + PATH,
+        method="POST",
+        body="{}",
+        headers={
+            names.IDEMPOTENCY_KEY: key,
+            names.DEADLINE_MS: str(deadline_ms),
+            "X-Request-Id": key,
+        },
+        request_timeout=CLIENT_TIMEOUT_S,
+        raise_error=False,
+    )
+    return response.headers.get(names.OUTCOME), response.headers.get(names.REASON)
+
+
+async def submit_until(member, key, is_reached):
+    end_s = time.monotonic() + SETTLE_BOUND_S
+    while True:
+        told = await submit(member, key)
+        if is_reached(told) or time.monotonic() > end_s:
+            return told
+        await asyncio.sleep(0.2)
+
+
+async def get_counts(member):
+    url = f"http://{member.address}:{member.target_port}/stand-in/counts"
+    response = await AsyncHTTPClient().fetch(url)
+    return json.loads(response.body)
+
+
+async def count_executions(fleet, key):
+    counts = [await get_counts(member) for member in fleet.members]
+    return sum(item["executions"].get(key, 0) for item in counts)
+
+
+async def find_executing(fleet):
+    end_s = time.monotonic() + SETTLE_BOUND_S
+    while time.monotonic() < end_s:
+        for member in fleet.members:
+            if (await get_counts(member))["in_flight"]:
+                return member
+        await asyncio.sleep(0.01)
+    raise TimeoutError("no call arrived at a target")
+
+
+async def run_holder_killed(fleet):
+    await start(fleet)
+    first = asyncio.ensure_future(submit(fleet.members[0], "killed"))
+    holder = await find_executing(fleet)
+    holder.node.kill()
+    await asyncio.gather(first, return_exceptions=True)
+    survivor = next(item for item in fleet.members if item is not holder)
+    told = await submit(survivor, "killed")
+    assert told[0] == "unknown"
+    fleet.start_node(holder)
+    told = await submit_until(
+        survivor, "killed", lambda told: told == ("unknown", "outcome-unknown")
+    )
+    assert told == ("unknown", "outcome-unknown")
+    assert await count_executions(fleet, "killed") == 1
+
+
+async def run_table_faults(fleet, faults, first_told):
+    await start(fleet)
+    await set_faults(fleet, "table", faults)
+    told = [await submit(member, "k", 700) for member in fleet.members]
+    assert set(told) <= first_told
+    assert await count_executions(fleet, "k") == 0
+    await set_faults(fleet, "table")
+    told = await submit_until(fleet.members[1], "k", lambda told: told[0] == "done")
+    assert told == ("done", None)
+    assert await submit(fleet.members[0], "k") == ("done", None)
+    assert await count_executions(fleet, "k") == 1
+
+
+async def run_lost_records(fleet):
+    await start(fleet)
+    first = asyncio.ensure_future(submit(fleet.members[0], "k"))
+    await find_executing(fleet)
+    await set_faults(fleet, "table", Faults(lose_answers=True))
+    assert await first == ("done", None)
+    told = await submit(fleet.members[1], "k", 500)
+    assert told[0] in ("unknown", "not-run")
+    await set_faults(fleet, "table")
+    told = await submit_until(fleet.members[1], "k", lambda told: told[0] == "done")
+    assert told == ("done", None)
+    assert await count_executions(fleet, "k") == 1
+
+
+UNRESOLVED = {("unknown", "store-unavailable"), ("unknown", "target-silent")}
+REFUSED = {("not-run", "store-unavailable")}
+
+
+class TestClaimFaults:
+    @pytest.mark.proves("at-most-once", "kill", "dispatch")
+    def test_holder_killed_between_claim_and_answer(self, fleet):
+        asyncio.run(run_holder_killed(fleet))
+
+    @pytest.mark.proves("at-most-once", "answer-lost", "answer")
+    def test_answers_of_records_lost(self, fleet):
+        asyncio.run(run_lost_records(fleet))
+
+    @pytest.mark.proves("at-most-once", "table-down", "claim")
+    @pytest.mark.proves("not-run", "table-down", "claim")
+    def test_table_down(self, fleet):
+        asyncio.run(run_table_faults(fleet, Faults(down=True), REFUSED))
+
+    @pytest.mark.proves("at-most-once", "answer-lost", "claim")
+    @pytest.mark.proves("not-run", "answer-lost", "claim")
+    @pytest.mark.parametrize(
+        "faults",
+        [Faults(lose_answers=True), Faults(land_late_ms=400), Faults(frozen=True)],
+        ids=["lost", "late", "frozen"],
+    )
+    def test_answers_of_claims_lost(self, fleet, faults):
+        work = run_table_faults(fleet, faults, UNRESOLVED | REFUSED)
+        asyncio.run(work)
