Refuse at-most-once calls at once while the table service is silent

Cause: with a frozen table service every call waited for its deadline and was told unknown. A process test covers it.

--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -13,13 +13,19 @@
 from gentianlink.node.claims.claim import Claim, compute_call_digest
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.claim_table import ClaimTable
-from gentianlink.node.claims.errors import ClaimNotMade, ClaimUnresolved
+from gentianlink.node.claims.errors import (
+    ClaimError,
+    ClaimNotMade,
+    ClaimTooLate,
+    ClaimUnresolved,
+)
 from gentianlink.node.claims.found_claim import FoundClaim
 from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
 from gentianlink.node.claims.repeat import compute_repeat_refusal
 from gentianlink.node.claims.retention import get_claim_key, is_expired
 from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.claims.writers import make_writer
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.proxy.refusal import Refusal
@@ -46,6 +52,8 @@
         Takes a Claim and returns whether its holder may still be running.
     settings : ClaimSettings
         Bounds on answers and retention.
+    breaker : StoreBreaker
+        Refuses while the table service does not answer.
     get_now_ms : callable, optional
         Returns the present time in milliseconds since the epoch.
     """
@@ -58,6 +66,7 @@
         counts,
         is_live,
         settings,
+        breaker,
         get_now_ms=get_now_ms,
     ):
         self._own_record = own_record
@@ -66,6 +75,7 @@
         self._counts = counts
         self._is_live = is_live
         self._settings = settings
+        self._breaker = breaker
         self._get_now_ms = get_now_ms
         self._running = set()
 
@@ -73,7 +83,8 @@
     def from_settings(cls, settings, own_record, table, counts, is_live):
         """Return the claims of a node for the ``claims`` section of the settings."""
         claim_table = ClaimTable(table, make_writer(settings, table))
-        settler = Settler(settings.max_pending, counts)
+        breaker = StoreBreaker()
+        settler = Settler(settings.max_pending, counts, breaker.note_success)
         return cls(
             own_record,
             claim_table,
@@ -81,6 +92,7 @@
             counts,
             is_live,
             settings,
+            breaker,
         )
 
     @property
@@ -156,18 +168,14 @@
             return Refusal(Reason.DEADLINE_PASSED)
         if self._is_expired(call):
             return self._refuse_expired()
-        if self._settler.is_full:
+        if self._settler.is_full or not self._breaker.may_try(get_monotonic_ms()):
             return self._refuse_for_store(Outcome.NOT_RUN)
         claim = self._make_claim(call, self._get_now_ms())
         try:
             result = await self._acquire(call, claim)
-        except ClaimNotMade:
-            return self._refuse_for_store(Outcome.NOT_RUN)
-        except ClaimUnresolved as unresolved:
-            self._settler.start(functools.partial(self._table.abandon, unresolved))
-            return self._refuse_for_store(Outcome.UNKNOWN)
-        except TimeoutError:
-            return self._refuse_for_store(Outcome.UNKNOWN)
+        except ClaimError as error:
+            return self._refuse_unclaimed(error)
+        self._breaker.note_success()
         if isinstance(result, FoundClaim):
             return await self._answer_repeat(result.claim, claim, relay)
         self._counts.add("claimed")
@@ -176,6 +184,14 @@
             return await self._release(result, self._refuse_expired())
         return await self._run_held(result, relay, run)
 
+    def _refuse_unclaimed(self, error):
+        self._breaker.note_failure(get_monotonic_ms())
+        if isinstance(error, ClaimNotMade):
+            return self._refuse_for_store(Outcome.NOT_RUN)
+        if isinstance(error, ClaimUnresolved):
+            self._settler.start(functools.partial(self._table.abandon, error))
+        return self._refuse_for_store(Outcome.UNKNOWN)
+
     def _make_claim(self, call, now_ms):
         return Claim(
             digest=compute_call_digest(call),
@@ -205,7 +221,7 @@
         if done:
             return task.result()
         self._settler.start(functools.partial(self._give_up, task))
-        raise TimeoutError
+        raise ClaimTooLate(call.key)
 
     async def _give_up(self, acquiring):
         try:
--- a/packages/node/src/gentianlink/node/claims/errors.py
+++ b/packages/node/src/gentianlink/node/claims/errors.py
@@ -29,3 +29,7 @@
         self.key = key
         self.claim = claim
         self.base_revision = base_revision
+
+
+class ClaimTooLate(ClaimError):
+    """The deadline passed during the claim; it is settled in the background."""
--- a/packages/node/src/gentianlink/node/claims/settler.py
+++ b/packages/node/src/gentianlink/node/claims/settler.py
@@ -23,13 +23,16 @@
         Writes that may be pending at once.
     counts : ClaimCounts
         Numbers of what happened.
+    on_success : callable
+        Called when a write succeeded.
     sleep : callable, optional
         Coroutine function that waits for a time in seconds.
     """
 
-    def __init__(self, max_pending, counts, sleep=asyncio.sleep):
+    def __init__(self, max_pending, counts, on_success, sleep=asyncio.sleep):
         self._max_pending = max_pending
         self._counts = counts
+        self._on_success = on_success
         self._sleep = sleep
         self._tasks = set()
 
@@ -65,6 +68,7 @@
                 await self._sleep(delay_ms * (0.5 + random.random()) / 1000)
                 delay_ms = min(MAX_DELAY_MS, delay_ms * 2)
             else:
+                self._on_success()
                 return
         self._counts.add("settle-dropped")
         _LOG.error("claim not settled", tries=MAX_TRIES)
--- a/packages/node/src/gentianlink/node/claims/test_settler.py
+++ b/packages/node/src/gentianlink/node/claims/test_settler.py
@@ -11,6 +11,7 @@
 
 def settle(failures):
     tries = []
+    successes = []
     counts = ClaimCounts()
 
     async def step():
@@ -19,13 +20,14 @@
             raise PlatformUnavailable("down")
 
     async def run():
-        settler = Settler(1, counts, sleep_never)
+        settler = Settler(1, counts, lambda: successes.append(1), sleep_never)
         settler.start(step)
         is_full = settler.is_full
         await settler.wait_idle(1000)
         return is_full, settler.pending
 
     assert asyncio.run(run()) == (True, 0)
+    assert len(successes) == (failures < MAX_TRIES)
     return len(tries), counts.get_all()
 
 
@@ -39,7 +41,7 @@
 
     def test_wait_is_bounded(self):
         async def run():
-            settler = Settler(1, ClaimCounts())
+            settler = Settler(1, ClaimCounts(), print)
             settler.start(asyncio.Event().wait)
             await settler.wait_idle(1)
             return settler.pending
--- a/packages/testing/src/gentianlink/testing/claim_experiment.py
+++ b/packages/testing/src/gentianlink/testing/claim_experiment.py
@@ -109,7 +109,7 @@
 
     def __init__(self, url, way):
         self._way = way
-        self._settler = Settler(1_000_000, ClaimCounts())
+        self._settler = Settler(1_000_000, ClaimCounts(), lambda: None)
         self.figures = Figures()
         client = TableClient(url, TABLE_TIMEOUT_MS)
         writers = [way.make_writer(client) for _ in range(way.writers)]
--- a/packages/testing/src/gentianlink/testing/claim_world.py
+++ b/packages/testing/src/gentianlink/testing/claim_world.py
@@ -20,6 +20,7 @@
 from gentianlink.node.claims.claim_table import ClaimTable
 from gentianlink.node.claims.direct_writer import DirectWriter
 from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.refusal import Refusal
@@ -206,13 +207,15 @@
             await self.wait(node_id, "sleep", lambda: None)
 
         counts = ClaimCounts()
+        breaker = StoreBreaker()
         return AtMostOnce(
             NodeRecord(node_id, 1, 1, "r", "d", "127.0.0.1", 1, 2, 3),
             self._claim_table_class(table, self._make_writer(table, sleep)),
-            Settler(100, counts, sleep),
+            Settler(100, counts, breaker.note_success, sleep),
             counts,
             lambda claim: claim.node_id not in self.dead,
             ClaimSettings(answer_max_bytes=ANSWER_MAX_BYTES),
+            breaker,
             lambda: self.now_ms,
         )
 
--- a/packages/testing/src/gentianlink/testing/test_claim_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -17,9 +17,10 @@
 WORK_MS = 300.0
 SETTLE_BOUND_S = 15.0
 CLIENT_TIMEOUT_S = 10.0
+REFUSAL_BOUND_S = 0.5
 
 
-@pytest.fixture
+@pytest.fixture(scope="class")
 def fleet():
     fleet = Fleet("kingston")
     fleet.start_platform()
@@ -27,6 +28,7 @@
         member = fleet.add_member("redemption", number, number)
         fleet.start_node(member)
         fleet.start_target(member, slots=10, work_ms=WORK_MS)
+    asyncio.run(start(fleet))
     yield fleet
     fleet.stop()
 
@@ -85,7 +87,6 @@
 
 
 async def run_holder_killed(fleet):
-    await start(fleet)
     first = asyncio.ensure_future(submit(fleet.members[0], "killed"))
     holder = await find_executing(fleet)
     holder.node.kill()
@@ -101,31 +102,47 @@
     assert await count_executions(fleet, "killed") == 1
 
 
-async def run_table_faults(fleet, faults, first_told):
-    await start(fleet)
+async def run_table_faults(fleet, key, faults, first_told):
     await set_faults(fleet, "table", faults)
-    told = [await submit(member, "k", 700) for member in fleet.members]
+    told = [await submit(member, key, 700) for member in fleet.members]
     assert set(told) <= first_told
-    assert await count_executions(fleet, "k") == 0
+    assert await count_executions(fleet, key) == 0
     await set_faults(fleet, "table")
-    told = await submit_until(fleet.members[1], "k", lambda told: told[0] == "done")
+    told = await submit_until(fleet.members[1], key, lambda told: told[0] == "done")
     assert told == ("done", None)
-    assert await submit(fleet.members[0], "k") == ("done", None)
-    assert await count_executions(fleet, "k") == 1
+    assert await submit(fleet.members[0], key) == ("done", None)
+    assert await count_executions(fleet, key) == 1
 
 
 async def run_lost_records(fleet):
-    await start(fleet)
-    first = asyncio.ensure_future(submit(fleet.members[0], "k"))
+    first = asyncio.ensure_future(submit(fleet.members[0], "record"))
     await find_executing(fleet)
     await set_faults(fleet, "table", Faults(lose_answers=True))
     assert await first == ("done", None)
-    told = await submit(fleet.members[1], "k", 500)
+    told = await submit(fleet.members[1], "record", 500)
     assert told[0] in ("unknown", "not-run")
     await set_faults(fleet, "table")
-    told = await submit_until(fleet.members[1], "k", lambda told: told[0] == "done")
+    told = await submit_until(
+        fleet.members[1], "record", lambda told: told[0] == "done"
+    )
     assert told == ("done", None)
-    assert await count_executions(fleet, "k") == 1
+    assert await count_executions(fleet, "record") == 1
+
+
+async def run_frozen_table(fleet):
+    await set_faults(fleet, "table", Faults(frozen=True))
+    member, *_ = fleet.members
+    for number in range(8):
+        await submit(member, f"frozen-{number}", 100)
+    started_s = time.monotonic()
+    told = await submit(member, "breaker")
+    elapsed_s = time.monotonic() - started_s
+    assert told == ("not-run", "store-unavailable")
+    assert elapsed_s < REFUSAL_BOUND_S
+    await set_faults(fleet, "table")
+    told = await submit_until(member, "breaker", lambda told: told[0] == "done")
+    assert told == ("done", None)
+    assert await count_executions(fleet, "breaker") == 1
 
 
 UNRESOLVED = {("unknown", "store-unavailable"), ("unknown", "target-silent")}
@@ -144,15 +161,22 @@
     @pytest.mark.proves("at-most-once", "table-down", "claim")
     @pytest.mark.proves("not-run", "table-down", "claim")
     def test_table_down(self, fleet):
-        asyncio.run(run_table_faults(fleet, Faults(down=True), REFUSED))
+        asyncio.run(run_table_faults(fleet, "down", Faults(down=True), REFUSED))
 
     @pytest.mark.proves("at-most-once", "answer-lost", "claim")
     @pytest.mark.proves("not-run", "answer-lost", "claim")
     @pytest.mark.parametrize(
-        "faults",
-        [Faults(lose_answers=True), Faults(land_late_ms=400), Faults(frozen=True)],
-        ids=["lost", "late", "frozen"],
+        ("key", "faults"),
+        [
+            ("lost", Faults(lose_answers=True)),
+            ("late", Faults(land_late_ms=400)),
+            ("frozen", Faults(frozen=True)),
+        ],
     )
-    def test_answers_of_claims_lost(self, fleet, faults):
-        work = run_table_faults(fleet, faults, UNRESOLVED | REFUSED)
+    def test_answers_of_claims_lost(self, fleet, key, faults):
+        work = run_table_faults(fleet, key, faults, UNRESOLVED | REFUSED)
         asyncio.run(work)
+
+    @pytest.mark.proves("not-run", "silent", "claim")
+    def test_frozen_table_is_refused_at_once(self, fleet):
+        asyncio.run(run_frozen_table(fleet))
