Mark the cells that tests of claims prove

Change: markers on the explorations and the process tests; the test of the breaker sends its calls to one node, since balancing spread them over two and neither opened.

--- a/packages/node/src/gentianlink/node/claims/test_at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -91,6 +91,32 @@
 
 
 class TestAtMostOnce:
+    @pytest.mark.proves("at-most-once", "kill", "claim")
+    @pytest.mark.proves("at-most-once", "kill", "dispatch")
+    @pytest.mark.proves("at-most-once", "kill", "answer")
+    @pytest.mark.proves("at-most-once", "freeze", "claim")
+    @pytest.mark.proves("at-most-once", "freeze", "dispatch")
+    @pytest.mark.proves("at-most-once", "freeze", "answer")
+    @pytest.mark.proves("at-most-once", "reordered", "claim")
+    @pytest.mark.proves("at-most-once", "reordered", "dispatch")
+    @pytest.mark.proves("at-most-once", "reordered", "answer")
+    @pytest.mark.proves("at-most-once", "answer-lost", "claim")
+    @pytest.mark.proves("at-most-once", "answer-lost", "dispatch")
+    @pytest.mark.proves("at-most-once", "answer-lost", "answer")
+    @pytest.mark.proves("at-most-once", "race", "claim")
+    @pytest.mark.proves("at-most-once", "race", "dispatch")
+    @pytest.mark.proves("at-most-once", "table-down", "answer")
+    @pytest.mark.proves("at-most-once", "lease-lapse", "claim")
+    @pytest.mark.proves("at-most-once", "lease-lapse", "dispatch")
+    @pytest.mark.proves("not-run", "kill", "claim")
+    @pytest.mark.proves("not-run", "freeze", "claim")
+    @pytest.mark.proves("not-run", "reordered", "claim")
+    @pytest.mark.proves("not-run", "answer-lost", "claim")
+    @pytest.mark.proves("not-run", "race", "claim")
+    @pytest.mark.proves("not-run", "table-down", "claim")
+    @pytest.mark.proves("not-run", "lease-lapse", "claim")
+    @pytest.mark.proves("not-run", "answer-lost", "dispatch")
+    @pytest.mark.proves("not-run", "table-down", "dispatch")
     @pytest.mark.parametrize(
         ("nodes", "faults", "make_writer"),
         [
@@ -131,12 +157,14 @@
         problems = {message for message, _ in asyncio.run(work)}
         assert problems == {"key k executed 2 times"}
 
+    @pytest.mark.proves("own-answer", "none", "answer")
     def test_repeat_gets_recorded_answer(self):
         world, repeat = asyncio.run(run_calls(["a"], Schedule([]), 0))
         assert [item.is_replay for item in world.submissions] == [False, True]
         assert repeat.answer == b"answer to k b"
         assert len(world.executions) == 1
 
+    @pytest.mark.proves("at-most-once", "bad-input", "claim")
     def test_same_key_with_another_body_is_refused(self):
         async def run():
             world = ClaimWorld(Schedule([]), 0)
--- a/packages/testing/src/gentianlink/testing/test_claim_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from gentianlink.core import headers as names
+from gentianlink.node.claims.store_breaker import FAILURES_TO_OPEN
 from gentianlink.testing.demo import CATALOGUE, apply_catalogue, has_version, wait_for
 from gentianlink.testing.faults import Faults
 from gentianlink.testing.fleet import Fleet
@@ -40,7 +41,7 @@
     await wait_for(fleet.members, lambda status: status["endpoints"].get(PATH) == 2)
 
 
-async def submit(member, key, deadline_ms=2000):
+async def submit(member, key, deadline_ms=2000, headers=()):
     response = await AsyncHTTPClient().fetch(
         member.call_url + PATH,
         method="POST",
@@ -49,6 +50,7 @@
             names.IDEMPOTENCY_KEY: key,
             names.DEADLINE_MS: str(deadline_ms),
             "X-Request-Id": key,
+            **dict(headers),
         },
         request_timeout=CLIENT_TIMEOUT_S,
         raise_error=False,
@@ -132,10 +134,11 @@
 async def run_frozen_table(fleet):
     await set_faults(fleet, "table", Faults(frozen=True))
     member, *_ = fleet.members
-    for number in range(8):
-        await submit(member, f"frozen-{number}", 100)
+    own_target = {names.TARGET: f"target-{member.node_id}"}
+    for number in range(FAILURES_TO_OPEN):
+        await submit(member, f"frozen-{number}", 100, own_target)
     started_s = time.monotonic()
-    told = await submit(member, "breaker")
+    told = await submit(member, "breaker", headers=own_target)
     elapsed_s = time.monotonic() - started_s
     assert told == ("not-run", "store-unavailable")
     assert elapsed_s < REFUSAL_BOUND_S
@@ -151,6 +154,7 @@
 
 class TestClaimFaults:
     @pytest.mark.proves("at-most-once", "kill", "dispatch")
+    @pytest.mark.proves("at-most-once", "kill", "restart")
     def test_holder_killed_between_claim_and_answer(self, fleet):
         asyncio.run(run_holder_killed(fleet))
 
