Test claims with callers that go away and holders that pause

Cause: the contract said both and no test with processes showed it; a batch had no bound in size; a call whose class changed while its body arrived had no digest. Change: two process tests; batches hold at most 256 KiB of values; such a call is refused with not-run.

--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -166,6 +166,9 @@
         """
         if call.get_remaining_ms(get_monotonic_ms()) <= 0:
             return Refusal(Reason.DEADLINE_PASSED)
+        if call.stream is not None:
+            # The class of the entry changed while the body arrived: no digest of it.
+            return Refusal(Reason.NOT_READY, retry_after_ms=RETRY_AFTER_MS)
         if self._is_expired(call):
             return self._refuse_expired()
         if self._settler.is_full or not self._breaker.may_try(get_monotonic_ms()):
--- a/packages/node/src/gentianlink/node/claims/group_writer.py
+++ b/packages/node/src/gentianlink/node/claims/group_writer.py
@@ -13,6 +13,7 @@
 from gentianlink.platform.row import Row
 
 MAX_TRANSACTIONS = 2
+MAX_BATCH_CHARACTERS = 256 * 1024
 
 
 @attrs.frozen(eq=False)
@@ -111,11 +112,14 @@
     def _take_batch(self):
         batch = {}
         later = []
+        size = 0
         for put in self._waiting:
-            if put.key in batch or len(batch) >= self._max_rows:
+            is_full = len(batch) >= self._max_rows or size >= MAX_BATCH_CHARACTERS
+            if is_full or put.key in batch:
                 later.append(put)
-            else:
-                batch[put.key] = put
+                continue
+            batch[put.key] = put
+            size += len(put.value)
         self._waiting = later
         return batch
 
--- a/packages/node/src/gentianlink/node/claims/test_at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -10,6 +10,7 @@
 from gentianlink.node.claims.group_writer import GroupWriter
 from gentianlink.node.claims.held_claim import HeldClaim
 from gentianlink.node.claims.retention import get_claim_key
+from gentianlink.node.proxy.request_body import RequestBody
 from gentianlink.testing.claim_checks import check_all
 from gentianlink.testing.claim_world import ClaimWorld
 from gentianlink.testing.schedule import Schedule, explore
@@ -251,3 +252,14 @@
         paused, world = asyncio.run(run())
         assert (paused.reason, paused.outcome) == (Reason.KEY_EXPIRED, Outcome.UNKNOWN)
         assert len(world.executions) == 1
+
+    def test_streamed_body_is_refused_without_a_claim(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            streamed = world.submit("a", stream=RequestBody(b""))
+            await world.run_to_end()
+            return streamed, world
+
+        streamed, world = asyncio.run(run())
+        assert streamed.outcome is Outcome.NOT_RUN
+        assert (world.table.writes, world.executions) == (0, [])
--- a/packages/node/src/gentianlink/node/claims/test_group_writer.py
+++ b/packages/node/src/gentianlink/node/claims/test_group_writer.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from gentianlink.core.errors import PlatformOutcomeUnknown, WriteConflict
-from gentianlink.node.claims.group_writer import GroupWriter
+from gentianlink.node.claims.group_writer import MAX_BATCH_CHARACTERS, GroupWriter
 from gentianlink.testing.table_state import TableState
 
 
@@ -23,10 +23,10 @@
         return revision
 
 
-def put_all(table, max_rows, puts):
+def put_all(table, max_rows, puts, value="v"):
     async def run():
         writer = GroupWriter(table, max_rows, 0)
-        work = [writer.put(key, "v", revision) for key, revision in puts]
+        work = [writer.put(key, value, revision) for key, revision in puts]
         return await asyncio.gather(*work, return_exceptions=True)
 
     return asyncio.run(run())
@@ -60,3 +60,9 @@
         table = RecordingTable()
         put_all(table, 2, [(str(number), 0) for number in range(5)])
         assert [len(batch) for batch in table.batches] == [2, 2, 1]
+
+    def test_batches_of_large_rows_are_bounded(self):
+        table = RecordingTable()
+        value = "v" * (MAX_BATCH_CHARACTERS // 2)
+        put_all(table, 8, [(str(number), 0) for number in range(5)], value)
+        assert [len(batch) for batch in table.batches] == [2, 2, 1]
--- a/packages/testing/src/gentianlink/testing/claim_world.py
+++ b/packages/testing/src/gentianlink/testing/claim_world.py
@@ -24,6 +24,7 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.request_body import RequestBody
 from gentianlink.platform.row import Row
 from gentianlink.testing.table_state import TableState
 
@@ -51,6 +52,7 @@
     key: str
     body: bytes
     deadline_ms: float
+    stream: RequestBody | None = None
     status: int = 0
     headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
     answer: bytes = b""
@@ -170,7 +172,7 @@
         self._activity += 1
         return await future
 
-    def submit(self, node_id, key="k", body=b"b", deadline_ms=DEADLINE_MS):
+    def submit(self, node_id, key="k", body=b"b", deadline_ms=DEADLINE_MS, stream=None):
         """Send a call to a node.
 
         Parameters
@@ -183,13 +185,17 @@
             Body of the call.
         deadline_ms : float, optional
             Time that the caller allows in milliseconds.
+        stream : RequestBody, optional
+            Body that was not read whole.
 
         Returns
         -------
         Submission
             What the caller is told, later.
         """
-        submission = Submission(len(self.submissions), node_id, key, body, deadline_ms)
+        submission = Submission(
+            len(self.submissions), node_id, key, body, deadline_ms, stream
+        )
         self.submissions.append(submission)
         work = self._execute(submission)
         self._tasks.append(asyncio.get_running_loop().create_task(work))
@@ -228,6 +234,7 @@
             submission.body,
             get_monotonic_ms() + submission.deadline_ms,
             submission.key,
+            stream=submission.stream,
         )
         relay = claims.make_relay(FakeWriter(submission), 1)
         run = functools.partial(self._run, submission, relay)
--- a/packages/testing/src/gentianlink/testing/test_claim_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import time
 
 import pytest
@@ -9,7 +10,13 @@
 
 from gentianlink.core import headers as names
 from gentianlink.node.claims.store_breaker import FAILURES_TO_OPEN
-from gentianlink.testing.demo import CATALOGUE, apply_catalogue, has_version, wait_for
+from gentianlink.testing.demo import (
+    CATALOGUE,
+    apply_catalogue,
+    get_status,
+    has_version,
+    wait_for,
+)
 from gentianlink.testing.faults import Faults
 from gentianlink.testing.fleet import Fleet
 from gentianlink.testing.soak.platform_faults import set_faults
@@ -67,6 +74,20 @@
         await asyncio.sleep(0.2)
 
 
+async def send_raw(member, key):
+    _, writer = await asyncio.open_connection(member.address, member.call_port)
+    writer.write(
+        f"POST {PATH} HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+        f"{names.IDEMPOTENCY_KEY}: {key}\r\n\r\n{{}}".encode()
+    )
+    return writer
+
+
+async def count_results(fleet, result):
+    statuses = [await get_status(member) for member in fleet.members]
+    return sum(status["claims"].get(result, 0) for status in statuses)
+
+
 async def get_counts(member):
     url = f"http://{member.address}:{member.target_port}/stand-in/counts"
     response = await AsyncHTTPClient().fetch(url)
@@ -104,6 +125,30 @@
     assert await count_executions(fleet, "killed") == 1
 
 
+async def run_caller_gone(fleet):
+    caller = asyncio.ensure_future(send_raw(fleet.members[0], "gone"))
+    await find_executing(fleet)
+    (await caller).close()
+    told = await submit_until(fleet.members[1], "gone", lambda told: told[0] == "done")
+    assert told == ("done", None)
+    assert await count_executions(fleet, "gone") == 1
+    assert await count_results(fleet, "replayed") > 0
+
+
+async def run_holder_frozen(fleet):
+    first = asyncio.ensure_future(submit(fleet.members[0], "paused", 5000))
+    holder = await find_executing(fleet)
+    holder.node.send_signal(signal.SIGSTOP)
+    other = next(item for item in fleet.members if item is not holder)
+    told = await submit(other, "paused", 200)
+    assert told[0] in ("unknown", "not-run")
+    holder.node.send_signal(signal.SIGCONT)
+    assert await first == ("done", None)
+    told = await submit_until(other, "paused", lambda told: told[0] == "done")
+    assert told == ("done", None)
+    assert await count_executions(fleet, "paused") == 1
+
+
 async def run_table_faults(fleet, key, faults, first_told):
     await set_faults(fleet, "table", faults)
     told = [await submit(member, key, 700) for member in fleet.members]
@@ -158,6 +203,14 @@
     def test_holder_killed_between_claim_and_answer(self, fleet):
         asyncio.run(run_holder_killed(fleet))
 
+    @pytest.mark.proves("at-most-once", "cut", "answer")
+    def test_caller_gone_during_execution(self, fleet):
+        asyncio.run(run_caller_gone(fleet))
+
+    @pytest.mark.proves("at-most-once", "freeze", "answer")
+    def test_holder_frozen_during_execution(self, fleet):
+        asyncio.run(run_holder_frozen(fleet))
+
     @pytest.mark.proves("at-most-once", "answer-lost", "answer")
     def test_answers_of_records_lost(self, fleet):
         asyncio.run(run_lost_records(fleet))
