--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -44,6 +44,12 @@
         Calls that are being handled.
     outcomes : dict of str to int
         Numbers of calls by outcome.
+    records : int
+        Live records of nodes and targets.
+    records_digest : str
+        Digest of these records; equal on nodes with the same view.
+    table_builds : int
+        Routing tables built.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
@@ -73,6 +79,9 @@
     endpoints: dict[str, int]
     in_flight: int
     outcomes: dict[str, int]
+    records: int
+    records_digest: str
+    table_builds: int
     platform_reads: int
     platform_writes: int
     claims: dict[str, int]
--- a/packages/node/src/gentianlink/node/proxy/conftest.py
+++ b/packages/node/src/gentianlink/node/proxy/conftest.py
@@ -125,6 +125,7 @@
             address=ADDRESS,
             port=port,
             state=TargetState.READY,
+            slots=slots,
             gate=Gate(slots),
             expires_ms=0.0,
         )
--- a/packages/node/src/gentianlink/node/test_never_back.py
+++ b/packages/node/src/gentianlink/node/test_never_back.py
@@ -55,7 +55,7 @@
         ]
         own = records[NAMES.index(name)]
         membership = Membership(own, lambda *news: None)
-        membership.merge(records, [])
+        membership.merge(records, [], 0)
         self.reader = HeadReader(
             CatalogueStore(self.table, self.objects),
             self.applied,
