--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -13,13 +13,19 @@
 from gentianlink.node.claims.claim import Claim, compute_call_digest
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.claim_table import ClaimTable
-from gentianlink.node.claims.errors import ClaimNotMade, ClaimUnresolved
+from gentianlink.node.claims.errors import (
+    ClaimError,
+    ClaimNotMade,
+    ClaimTooLate,
+    ClaimUnresolved,
+)
 from gentianlink.node.claims.found_claim import FoundClaim
 from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
 from gentianlink.node.claims.repeat import compute_repeat_refusal
 from gentianlink.node.claims.retention import get_claim_key, is_expired
 from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.claims.writers import make_writer
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.proxy.refusal import Refusal
@@ -29,6 +35,25 @@
 MS_PER_HOUR = 3_600_000
 
 
+async def wait_until_done(task, timeout_ms):
+    """Wait for a task without cancelling it.
+
+    Parameters
+    ----------
+    task : asyncio.Task
+        The task.
+    timeout_ms : float
+        Bound in milliseconds.
+
+    Returns
+    -------
+    bool
+        False if the bound passed first.
+    """
+    done, _ = await asyncio.wait({task}, timeout=timeout_ms / 1000)
+    return bool(done)
+
+
 class AtMostOnce:
     """Claims a key, runs its work, and records the result.
 
@@ -46,8 +71,12 @@
         Takes a Claim and returns whether its holder may still be running.
     settings : ClaimSettings
         Bounds on answers and retention.
+    breaker : StoreBreaker
+        Refuses while the table service does not answer.
     get_now_ms : callable, optional
         Returns the present time in milliseconds since the epoch.
+    wait_until_done : callable, optional
+        Coroutine function that waits for a task, within a bound.
     """
 
     def __init__(
@@ -58,7 +87,9 @@
         counts,
         is_live,
         settings,
+        breaker,
         get_now_ms=get_now_ms,
+        wait_until_done=wait_until_done,
     ):
         self._own_record = own_record
         self._table = table
@@ -66,14 +97,17 @@
         self._counts = counts
         self._is_live = is_live
         self._settings = settings
+        self._breaker = breaker
         self._get_now_ms = get_now_ms
+        self._wait_until_done = wait_until_done
         self._running = set()
 
     @classmethod
     def from_settings(cls, settings, own_record, table, counts, is_live):
         """Return the claims of a node for the ``claims`` section of the settings."""
         claim_table = ClaimTable(table, make_writer(settings, table))
-        settler = Settler(settings.max_pending, counts)
+        breaker = StoreBreaker()
+        settler = Settler(settings.max_pending, counts, breaker.note_success)
         return cls(
             own_record,
             claim_table,
@@ -81,6 +115,7 @@
             counts,
             is_live,
             settings,
+            breaker,
         )
 
     @property
@@ -154,20 +189,19 @@
         """
         if call.get_remaining_ms(get_monotonic_ms()) <= 0:
             return Refusal(Reason.DEADLINE_PASSED)
+        if call.stream is not None:
+            # The class of the entry changed while the body arrived: no digest of it.
+            return Refusal(Reason.NOT_READY, retry_after_ms=RETRY_AFTER_MS)
         if self._is_expired(call):
             return self._refuse_expired()
-        if self._settler.is_full:
+        if self._settler.is_full or not self._breaker.may_try(get_monotonic_ms()):
             return self._refuse_for_store(Outcome.NOT_RUN)
         claim = self._make_claim(call, self._get_now_ms())
         try:
             result = await self._acquire(call, claim)
-        except ClaimNotMade:
-            return self._refuse_for_store(Outcome.NOT_RUN)
-        except ClaimUnresolved as unresolved:
-            self._settler.start(functools.partial(self._table.abandon, unresolved))
-            return self._refuse_for_store(Outcome.UNKNOWN)
-        except TimeoutError:
-            return self._refuse_for_store(Outcome.UNKNOWN)
+        except ClaimError as error:
+            return self._refuse_unclaimed(error)
+        self._breaker.note_success()
         if isinstance(result, FoundClaim):
             return await self._answer_repeat(result.claim, claim, relay)
         self._counts.add("claimed")
@@ -176,6 +210,14 @@
             return await self._release(result, self._refuse_expired())
         return await self._run_held(result, relay, run)
 
+    def _refuse_unclaimed(self, error):
+        self._breaker.note_failure(get_monotonic_ms())
+        if isinstance(error, ClaimNotMade):
+            return self._refuse_for_store(Outcome.NOT_RUN)
+        if isinstance(error, ClaimUnresolved):
+            self._settler.start(functools.partial(self._table.abandon, error))
+        return self._refuse_for_store(Outcome.UNKNOWN)
+
     def _make_claim(self, call, now_ms):
         return Claim(
             digest=compute_call_digest(call),
@@ -201,11 +243,10 @@
         work = self._table.acquire(get_claim_key(call.key), claim)
         task = asyncio.get_running_loop().create_task(work)
         remaining_ms = max(0.0, call.get_remaining_ms(get_monotonic_ms()))
-        done, _ = await asyncio.wait({task}, timeout=remaining_ms / 1000)
-        if done:
+        if await self._wait_until_done(task, remaining_ms):
             return task.result()
         self._settler.start(functools.partial(self._give_up, task))
-        raise TimeoutError
+        raise ClaimTooLate(call.key)
 
     async def _give_up(self, acquiring):
         try:
--- a/packages/node/src/gentianlink/node/mesh/convergence_service.py
+++ b/packages/node/src/gentianlink/node/mesh/convergence_service.py
@@ -70,7 +70,8 @@
                 await asyncio.sleep(self._compute_backoff_ms() / 1000)
                 continue
             try:
-                await asyncio.wait_for(self._changed.wait(), CHECK_S)
+                async with asyncio.timeout(CHECK_S):
+                    await self._changed.wait()
                 await asyncio.sleep(self._compute_spread_ms() / 1000)
             except TimeoutError:
                 continue
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -98,7 +98,8 @@
 
 async def _read_link(mesh, frames, link):
     try:
-        hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            hello = await anext(frames)
         await mesh.run_link(hello, frames, link)
     except LinkRefused as error:
         _LOG.info("link refused", peer=link.peer_id, why=str(error))
