--- a/packages/platform/src/gentianlink/platform/names.py
+++ b/packages/platform/src/gentianlink/platform/names.py
@@ -4,6 +4,7 @@
 CHANGE_PREFIX = "catalogue/change/"
 CHANGE_ID_PREFIX = "catalogue/change-id/"
 NODE_PREFIX = "node/"
+ADMIN_PREFIX = "admin/"
 
 
 def get_change_key(version):
