Report free slots with at-most-once answers, and record none

Cause: answers of at-most-once work carried no free slots, so nodes chose those targets blindly; a recorded answer would have replayed old headers of the contract. Change: the relay of at-most-once calls reports free slots like any other; headers of the contract are not recorded; a fake of the claims takes the new arguments.

--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -151,7 +151,7 @@
             await asyncio.wait(set(self._running))
         await self._settler.wait_idle(STOP_TIMEOUT_MS)
 
-    def make_relay(self, writer, version):
+    def make_relay(self, writer, version, is_head=False, get_free_slots=None):
         """Return the relay of one at-most-once call.
 
         Parameters
@@ -160,13 +160,20 @@
             The caller's side.
         version : int
             Catalogue version in force.
+        is_head : bool, optional
+            Whether the call has the method HEAD, so that no body follows.
+        get_free_slots : callable, optional
+            Returns the free slots to report with the answer.
 
         Returns
         -------
         RecordingRelay
             Relay that keeps what is to be recorded.
         """
-        return RecordingRelay(writer, version, self._settings.answer_max_bytes)
+        max_bytes = self._settings.answer_max_bytes
+        return RecordingRelay(
+            writer, version, max_bytes, is_head=is_head, get_free_slots=get_free_slots
+        )
 
     async def execute(self, call, relay, run):
         """Claim the key of a call, run the call once, and record its result.
--- a/packages/node/src/gentianlink/node/claims/recorded_answer.py
+++ b/packages/node/src/gentianlink/node/claims/recorded_answer.py
@@ -4,6 +4,7 @@
 
 MAX_HEADERS_BYTES = 4096
 DROPPED_HEADERS = frozenset(("content-length", "set-cookie"))
+DROPPED_PREFIX = "x-gentianlink-"
 
 
 @attrs.frozen
@@ -48,9 +49,13 @@
     kept = tuple(
         (name, value)
         for name, value in headers.get_all()
-        if name.lower() not in DROPPED_HEADERS
+        if not _is_dropped(name.lower())
     )
     size = sum(len(name) + len(value) for name, value in kept)
     if body is None or size > MAX_HEADERS_BYTES:
         return RecordedAnswer(status, is_whole=False)
     return RecordedAnswer(status, kept, body.decode("latin-1"))
+
+
+def _is_dropped(name):
+    return name in DROPPED_HEADERS or name.startswith(DROPPED_PREFIX)
--- a/packages/node/src/gentianlink/node/claims/recording_relay.py
+++ b/packages/node/src/gentianlink/node/claims/recording_relay.py
@@ -19,10 +19,16 @@
         Catalogue version in force.
     max_bytes : int
         Largest body that is kept.
+    is_head : bool, optional
+        Whether the call has the method HEAD, so that no body follows.
+    get_free_slots : callable, optional
+        Returns the free slots to report with the answer.
     """
 
-    def __init__(self, writer, version, max_bytes):
-        super().__init__(writer, version)
+    def __init__(self, writer, version, max_bytes, is_head=False, get_free_slots=None):
+        super().__init__(
+            writer, version, is_head=is_head, get_free_slots=get_free_slots
+        )
         self._max_bytes = max_bytes
         self._kept = bytearray()
         self._is_whole = True
@@ -65,10 +71,13 @@
         body = answer.body.encode("latin-1")
         headers["Content-Length"] = str(len(body))
         headers[names.REPLAY] = "true"
-        mark_done(headers, self._version)
+        mark_done(headers, self._version, self._compute_free_slots())
         await self._writer.start(answer.status, headers, body)
         self._writer.finish()
 
+    def _compute_free_slots(self):
+        return None if self._get_free_slots is None else self._get_free_slots()
+
     async def _relay(self, step):
         if self._is_caller_gone:
             step.close()
--- a/packages/node/src/gentianlink/node/proxy/conftest.py
+++ b/packages/node/src/gentianlink/node/proxy/conftest.py
@@ -29,8 +29,8 @@
 class FakeClaims:
     """Grants every claim and records nothing."""
 
-    def make_relay(self, writer, version):
-        return AnswerRelay(writer, version)
+    def make_relay(self, writer, version, **options):
+        return AnswerRelay(writer, version, **options)
 
     async def run_to_end(self, work):
         return await work
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -92,16 +92,16 @@
             target.gate.leave(now_ms - started_ms, now_ms)
 
     async def _run(self, call, entry, target, writer, version):
-        if entry.work_class is WorkClass.AT_MOST_ONCE:
-            relay = self._claims.make_relay(writer, version)
-            run = functools.partial(self._exchange, call, target, relay)
-            return await self._claims.execute(call, relay, run)
-        relay = AnswerRelay(
+        is_at_most_once = entry.work_class is WorkClass.AT_MOST_ONCE
+        relay = (self._claims.make_relay if is_at_most_once else AnswerRelay)(
             writer,
             version,
             is_head=call.method == "HEAD",
             get_free_slots=lambda: target.gate.free_slots_after_one,
         )
+        if is_at_most_once:
+            run = functools.partial(self._exchange, call, target, relay)
+            return await self._claims.execute(call, relay, run)
         refusal = await self._exchange(call, target, relay, is_repeatable=True)
         if refusal is None:
             await relay.end()
