--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -10,20 +10,16 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
+from gentianlink.node.claims.bounded_claims import BoundedClaims, wait_until_done
 from gentianlink.node.claims.claim import Claim, compute_call_digest
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.claim_table import ClaimTable
-from gentianlink.node.claims.errors import (
-    ClaimError,
-    ClaimNotMade,
-    ClaimTooLate,
-    ClaimUnresolved,
-)
+from gentianlink.node.claims.errors import ClaimError, ClaimNotMade
 from gentianlink.node.claims.found_claim import FoundClaim
 from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
 from gentianlink.node.claims.repeat import compute_repeat_refusal
-from gentianlink.node.claims.retention import get_claim_key, is_expired
+from gentianlink.node.claims.retention import is_expired
 from gentianlink.node.claims.settler import Settler
 from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.claims.writers import make_writer
@@ -35,25 +31,6 @@
 MS_PER_HOUR = 3_600_000
 
 
-async def wait_until_done(task, timeout_ms):
-    """Wait for a task without cancelling it.
-
-    Parameters
-    ----------
-    task : asyncio.Task
-        The task.
-    timeout_ms : float
-        Bound in milliseconds.
-
-    Returns
-    -------
-    bool
-        False if the bound passed first.
-    """
-    done, _ = await asyncio.wait({task}, timeout=timeout_ms / 1000)
-    return bool(done)
-
-
 class AtMostOnce:
     """Claims a key, runs its work, and records the result.
 
@@ -99,7 +76,7 @@
         self._settings = settings
         self._breaker = breaker
         self._get_now_ms = get_now_ms
-        self._wait_until_done = wait_until_done
+        self._bounded = BoundedClaims(table, settler, wait_until_done)
         self._running = set()
 
     @classmethod
@@ -205,7 +182,7 @@
             return self._refuse_for_store(Outcome.NOT_RUN)
         claim = self._make_claim(call, self._get_now_ms())
         try:
-            result = await self._acquire(call, claim)
+            result = await self._bounded.acquire(call, claim)
         except ClaimError as error:
             return self._refuse_unclaimed(error)
         self._breaker.note_success()
@@ -221,8 +198,6 @@
         self._breaker.note_failure(get_monotonic_ms())
         if isinstance(error, ClaimNotMade):
             return self._refuse_for_store(Outcome.NOT_RUN)
-        if isinstance(error, ClaimUnresolved):
-            self._settler.start(functools.partial(self._table.abandon, error))
         return self._refuse_for_store(Outcome.UNKNOWN)
 
     def _make_claim(self, call, now_ms):
@@ -246,26 +221,6 @@
         self._counts.add(f"store-unavailable-{outcome.value}")
         return Refusal(Reason.STORE_UNAVAILABLE, outcome, RETRY_AFTER_MS)
 
-    async def _acquire(self, call, claim):
-        work = self._table.acquire(get_claim_key(call.key), claim)
-        task = asyncio.get_running_loop().create_task(work)
-        remaining_ms = max(0.0, call.get_remaining_ms(get_monotonic_ms()))
-        if await self._wait_until_done(task, remaining_ms):
-            return task.result()
-        self._settler.start(functools.partial(self._give_up, task))
-        raise ClaimTooLate(call.key)
-
-    async def _give_up(self, acquiring):
-        try:
-            result = await asyncio.shield(acquiring)
-        except ClaimNotMade:
-            return
-        except ClaimUnresolved as unresolved:
-            await self._table.abandon(unresolved)
-            return
-        if not isinstance(result, FoundClaim):
-            await self._table.write_result(result, ClaimState.RELEASED)
-
     async def _answer_repeat(self, found, claim, relay):
         is_live = self._is_live(found)
         refusal = compute_repeat_refusal(found, claim, is_live, claim.claimed_ms)
--- a/packages/node/src/gentianlink/node/claims/test_at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -11,9 +11,9 @@
 from gentianlink.node.claims.held_claim import HeldClaim
 from gentianlink.node.claims.retention import get_claim_key
 from gentianlink.node.proxy.request_body import RequestBody
-from gentianlink.testing.claim_checks import check_all
-from gentianlink.testing.claim_world import ClaimWorld
-from gentianlink.testing.schedule import RandomSchedule, Schedule, explore
+from gentianlink.testing.claims.checks import check_all
+from gentianlink.testing.claims.schedule import RandomSchedule, Schedule, explore
+from gentianlink.testing.claims.world import ClaimWorld
 
 MAX_RUNS = 60_000
 DAY_MS = 24 * 3_600_000
--- a/packages/testing/src/gentianlink/testing/claim_checks.py
+++ b/packages/testing/src/gentianlink/testing/claims/checks.py
@@ -1,7 +1,7 @@
 """Check at-most-once execution by what the target and the callers saw, and no more."""
 
 from gentianlink.core.outcome import Outcome
-from gentianlink.testing.claim_world import make_answer
+from gentianlink.testing.claims.world import make_answer
 
 
 def check_executions(world):
