--- a/packages/testing/src/gentianlink/testing/test_claim_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -53,11 +53,11 @@
     await wait_for(fleet.members, lambda status: status["endpoints"].get(PATH) == 2)
 
 
-async def submit(member, key, deadline_ms=2000, headers=()):
+async def submit(member, key, deadline_ms=2000, headers=(), body="{}"):
     response = await AsyncHTTPClient().fetch(
         member.call_url + PATH,
         method="POST",
-        body="{}",
+        body=body,
         headers={
             names.IDEMPOTENCY_KEY: key,
             names.DEADLINE_MS: str(deadline_ms),
@@ -131,6 +131,15 @@
     assert await count_executions(fleet, "killed") == 1
 
 
+async def run_key_reused(fleet):
+    await wait_until_whole(fleet)
+    assert await submit(fleet.members[0], "reused") == ("done", None)
+    told = await submit(fleet.members[0], "reused", body="[]")
+    assert told == ("not-run", "key-reused")
+    assert await count_results(fleet, "repeat-key-reused") == 1
+    assert await count_executions(fleet, "reused") == 1
+
+
 async def run_caller_gone(fleet):
     await wait_until_whole(fleet)
     caller = asyncio.ensure_future(send_raw(fleet.members[0], "gone"))
@@ -214,6 +223,9 @@
     def test_holder_killed_between_claim_and_answer(self, fleet):
         asyncio.run(run_holder_killed(fleet))
 
+    def test_reused_key_is_refused_by_one_node(self, fleet):
+        asyncio.run(run_key_reused(fleet))
+
     @pytest.mark.proves("at-most-once", "cut", "answer")
     def test_caller_gone_during_execution(self, fleet):
         asyncio.run(run_caller_gone(fleet))
