--- a/packages/testing/src/gentianlink/testing/test_claim_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_claim_faults.py
@@ -22,7 +22,7 @@
 from gentianlink.testing.soak.platform_faults import set_faults
 
 PATH = "/redemption/redeem"
-WORK_MS = 300.0
+WORK_MS = 500.0
 SETTLE_BOUND_S = 15.0
 CLIENT_TIMEOUT_S = 10.0
 REFUSAL_BOUND_S = 0.5
@@ -44,15 +44,20 @@
 async def start(fleet):
     await wait_for(fleet.members, lambda status: status["ready"])
     apply_catalogue(fleet, CATALOGUE, "test")
+    await wait_until_whole(fleet)
+
+
+async def wait_until_whole(fleet):
+    await wait_for(fleet.members, lambda status: status["ready"])
     await wait_for(fleet.members, has_version(1))
     await wait_for(fleet.members, lambda status: status["endpoints"].get(PATH) == 2)
 
 
-async def submit(member, key, deadline_ms=2000, headers=()):
+async def submit(member, key, deadline_ms=2000, headers=(), body="{}"):
     response = await AsyncHTTPClient().fetch(
         member.call_url + PATH,
         method="POST",
-        body="{}",
+        body=body,
         headers={
             names.IDEMPOTENCY_KEY: key,
             names.DEADLINE_MS: str(deadline_ms),
@@ -110,6 +115,7 @@
 
 
 async def run_holder_killed(fleet):
+    await wait_until_whole(fleet)
     first = asyncio.ensure_future(submit(fleet.members[0], "killed"))
     holder = await find_executing(fleet)
     holder.node.kill()
@@ -125,7 +131,17 @@
     assert await count_executions(fleet, "killed") == 1
 
 
+async def run_key_reused(fleet):
+    await wait_until_whole(fleet)
+    assert await submit(fleet.members[0], "reused") == ("done", None)
+    told = await submit(fleet.members[0], "reused", body="[]")
+    assert told == ("not-run", "key-reused")
+    assert await count_results(fleet, "repeat-key-reused") == 1
+    assert await count_executions(fleet, "reused") == 1
+
+
 async def run_caller_gone(fleet):
+    await wait_until_whole(fleet)
     caller = asyncio.ensure_future(send_raw(fleet.members[0], "gone"))
     await find_executing(fleet)
     (await caller).close()
@@ -136,6 +152,7 @@
 
 
 async def run_holder_frozen(fleet):
+    await wait_until_whole(fleet)
     first = asyncio.ensure_future(submit(fleet.members[0], "paused", 5000))
     holder = await find_executing(fleet)
     holder.node.send_signal(signal.SIGSTOP)
@@ -150,6 +167,7 @@
 
 
 async def run_table_faults(fleet, key, faults, first_told):
+    await wait_until_whole(fleet)
     await set_faults(fleet, "table", faults)
     told = [await submit(member, key, 700) for member in fleet.members]
     assert set(told) <= first_told
@@ -162,6 +180,7 @@
 
 
 async def run_lost_records(fleet):
+    await wait_until_whole(fleet)
     first = asyncio.ensure_future(submit(fleet.members[0], "record"))
     await find_executing(fleet)
     await set_faults(fleet, "table", Faults(lose_answers=True))
@@ -177,6 +196,7 @@
 
 
 async def run_frozen_table(fleet):
+    await wait_until_whole(fleet)
     await set_faults(fleet, "table", Faults(frozen=True))
     member, *_ = fleet.members
     own_target = {names.TARGET: f"target-{member.node_id}"}
@@ -203,6 +223,9 @@
     def test_holder_killed_between_claim_and_answer(self, fleet):
         asyncio.run(run_holder_killed(fleet))
 
+    def test_reused_key_is_refused_by_one_node(self, fleet):
+        asyncio.run(run_key_reused(fleet))
+
     @pytest.mark.proves("at-most-once", "cut", "answer")
     def test_caller_gone_during_execution(self, fleet):
         asyncio.run(run_caller_gone(fleet))
