--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -90,18 +90,19 @@
             await connection.write(chunk)
     except StreamClosedError:
         connection.close()
-        return
+        return False
     connection.finish()
+    return True
 
 
 async def _end_sending(sending, call):
     if sending is None:
         return True
-    is_sent = sending.done()
+    sending.cancel()
+    await asyncio.wait([sending])
+    is_sent = not sending.cancelled() and sending.result()
     if not is_sent:
         call.stream.discard()
-        sending.cancel()
-        await asyncio.wait([sending])
     return is_sent
 
 
