Tell slow targets from silent ones, and admit by earliest deadline

Change: silence needs four times the usual time of an answer; a target that is too slow for the deadlines of its calls gets one call at a time; the queue admits by earliest deadline; calls leave the own data centre at 80% of its known slots.

--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -12,13 +12,14 @@
     MAX_IDLE_NON_REPEATABLE_MS,
 )
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
-from gentianlink.node.proxy.exchange_call import exchange_call
+from gentianlink.node.proxy.exchange_call import compute_silence_ms, exchange_call
 from gentianlink.node.proxy.refusal import Refusal, combine_refusals
 from gentianlink.node.proxy.retry_budget import RetryBudget
 
 RETRY_AFTER_MS = 100
-GATE_SILENCE_SHARE = 0.4
+SILENCE_SHARE = 0.4
 NEW_CONNECTION_ONLY = 0
+REASONS_OF_CUT_WORK = (Reason.DEADLINE_PASSED, Reason.TARGET_SILENT)
 
 
 class Dispatcher:
@@ -75,6 +76,7 @@
             get_monotonic_ms(),
             entry.owner,
             call.caller,
+            entry.name,
         )
         if refusal is not None:
             return refusal
@@ -85,11 +87,14 @@
 
     async def _run_in_slot(self, call, entry, target, writer, version):
         started_ms = get_monotonic_ms()
+        is_cut = True
         try:
-            return await self._run(call, entry, target, writer, version)
+            refusal = await self._run(call, entry, target, writer, version)
+            is_cut = refusal is not None and refusal.reason in REASONS_OF_CUT_WORK
+            return refusal
         finally:
             now_ms = get_monotonic_ms()
-            target.gate.leave(now_ms - started_ms, now_ms)
+            target.gate.leave(now_ms - started_ms, now_ms, entry.name, is_cut)
 
     async def _run(self, call, entry, target, writer, version):
         if entry.work_class is WorkClass.AT_MOST_ONCE:
@@ -113,7 +118,12 @@
         budget = self._get_budget(target.service, now_ms)
         budget.record_call(now_ms)
         max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
-        share = GATE_SILENCE_SHARE if is_repeatable else 1.0
+        silence_ms = self._silence_ms
+        if is_repeatable:
+            remaining_ms = call.get_remaining_ms(now_ms)
+            silence_ms = compute_silence_ms(
+                silence_ms, remaining_ms, SILENCE_SHARE, target.gate.mean_ms
+            )
         try:
             stream = await self._acquire(target, max_idle_ms)
         except TargetUnreachable:
@@ -121,7 +131,7 @@
         except ConnectionLimitReached:
             return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
         is_used = stream.exchanges > 0
-        refusal = await self._send(stream, call, relay, share)
+        refusal = await self._send(stream, call, relay, silence_ms)
         if not is_repeatable or not _may_be_stale(refusal, is_used, relay, call):
             return refusal
         if refusal.reason is Reason.TARGET_SILENT and not budget.try_take():
@@ -130,7 +140,8 @@
             stream = await self._acquire(target, NEW_CONNECTION_ONLY)
         except (TargetUnreachable, ConnectionLimitReached):
             return refusal
-        return combine_refusals(refusal, await self._send(stream, call, relay, 1.0))
+        later = await self._send(stream, call, relay, self._silence_ms)
+        return combine_refusals(refusal, later)
 
     def _get_budget(self, service, now_ms):
         budget = self._budgets.get(service)
@@ -143,10 +154,8 @@
             target.address, target.port, get_monotonic_ms(), max_idle_ms
         )
 
-    async def _send(self, stream, call, relay, silence_share):
-        return await exchange_call(
-            self._pool, stream, call, relay, self._silence_ms, silence_share
-        )
+    async def _send(self, stream, call, relay, silence_ms):
+        return await exchange_call(self._pool, stream, call, relay, silence_ms)
 
 
 def _may_be_stale(refusal, is_used, relay, call):
--- a/packages/node/src/gentianlink/node/proxy/exchange_call.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_call.py
@@ -24,6 +24,7 @@
     ExchangeDeadlinePassed: Reason.DEADLINE_PASSED,
     BadAnswer: Reason.BAD_ANSWER,
 }
+SILENT_ANSWERS = 4
 HEADERS_OF_ANSWERS = (
     names.OUTCOME,
     names.REASON,
@@ -35,9 +36,31 @@
 )
 
 
-async def exchange_call(
-    pool, stream, call, relay, silence_ms, silence_share, target_id=None
-):
+def compute_silence_ms(limit_ms, remaining_ms, share, mean_ms):
+    """Return after which time without progress a connection counts as silent.
+
+    Parameters
+    ----------
+    limit_ms : float
+        Longest such time in milliseconds.
+    remaining_ms : float
+        Time until the deadline in milliseconds.
+    share : float
+        Share of the remaining time that may pass, so that there is time for another
+        attempt.
+    mean_ms : float
+        Mean time of an answer in milliseconds.
+
+    Returns
+    -------
+    float
+        Time in milliseconds. It is several times that of a usual answer, since a
+        slow target is not silent and another attempt would add to its load.
+    """
+    return min(limit_ms, max(remaining_ms * share, mean_ms * SILENT_ANSWERS))
+
+
+async def exchange_call(pool, stream, call, relay, silence_ms, target_id=None):
     """Send a call over a connection and relay its answer.
 
     Parameters
@@ -52,9 +75,6 @@
         Takes the answer.
     silence_ms : float
         Longest time in milliseconds without progress.
-    silence_share : float
-        Share of the remaining time after which silence is noticed at the latest, so
-        that time for another attempt is left; 1 for the last attempt.
     target_id : str, optional
         Target that the node at the other end should use.
 
@@ -76,10 +96,9 @@
     headers = make_target_headers(call, remaining_ms)
     if target_id is not None:
         headers[names.TARGET] = target_id
-    bound_ms = min(silence_ms, remaining_ms * silence_share)
     is_reusable = False
     try:
-        is_reusable = await run_exchange(stream, call, headers, relay, bound_ms)
+        is_reusable = await run_exchange(stream, call, headers, relay, silence_ms)
     except (CallerGone, asyncio.CancelledError):
         raise
     except ExchangeError as error:
--- a/packages/node/src/gentianlink/node/proxy/gate.py
+++ b/packages/node/src/gentianlink/node/proxy/gate.py
@@ -2,14 +2,15 @@
 
 A call waits only if it can be expected to end before its deadline; any other is
 refused at once and told when to come back. So the queue never holds work that nobody
-waits for any more, whatever load is offered.
+waits for any more, whatever load is offered. A target that has become too slow for the
+deadlines of its calls gets one call at a time, until it is fast again.
 """
 
 import asyncio
 
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.proxy.queue_order import pick_oldest
+from gentianlink.node.proxy.queue_order import pick_earliest_deadline
 from gentianlink.node.proxy.queue_share import find_displaced
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.waiting_call import WaitingCall
@@ -17,6 +18,7 @@
 MIN_RETRY_AFTER_MS = 20
 MAX_WAIT_SHARE = 0.5
 MEAN_WEIGHT = 0.1
+CUT_WORK_FACTOR = 2
 MS_PER_S = 1000
 
 
@@ -31,13 +33,14 @@
         Returns the position of the call that is admitted next.
     """
 
-    def __init__(self, slots, pick_next=pick_oldest):
+    def __init__(self, slots, pick_next=pick_earliest_deadline):
         self._slots = slots
         self._pick_next = pick_next
         self._in_flight = 0
         self._waiting = []
         self._is_draining = False
         self._mean_ms = 0.0
+        self._work_ms = {}
 
     @property
     def free_slots(self):
@@ -98,7 +101,9 @@
         """
         return self._mean_ms * (calls_before + 1) / max(1, self._slots)
 
-    async def enter(self, queue_limit, deadline_ms, now_ms, owner="", caller=""):
+    async def enter(
+        self, queue_limit, deadline_ms, now_ms, owner="", caller="", kind=""
+    ):
         """Take a slot, waiting in the queue if there is none.
 
         Parameters
@@ -113,6 +118,8 @@
             Owner of the entry, for fair shares of the queue.
         caller : str, optional
             Name of the caller, for fair shares of the queue.
+        kind : str, optional
+            Kind of work, whose usual time is known from earlier calls.
 
         Returns
         -------
@@ -121,31 +128,30 @@
         """
         if self._is_draining:
             return Refusal(Reason.DRAINING, retry_after_ms=MIN_RETRY_AFTER_MS)
-        if self._in_flight < self._slots:
+        work_ms = self._work_ms.get(kind, 0.0)
+        is_in_time = work_ms <= deadline_ms - now_ms
+        if self._in_flight < self._slots and (is_in_time or not self._in_flight):
             self._in_flight += 1
             return None
-        waiter = WaitingCall(_make_future(), deadline_ms, owner, caller)
-        if not self._has_room(queue_limit, deadline_ms, now_ms):
+        waiter = WaitingCall(_make_future(), deadline_ms, owner, caller, work_ms)
+        if not is_in_time or not self._has_room(queue_limit, waiter, now_ms):
             displaced = find_displaced(self._waiting, owner, caller)
-            if displaced is None or not self._is_in_time(deadline_ms, now_ms):
+            if displaced is None or not is_in_time:
                 return self._refuse()
             self._waiting.remove(displaced)
             _set_result(displaced, self._refuse())
         self._waiting.append(waiter)
         return await self._wait(waiter, deadline_ms - now_ms)
 
-    def _has_room(self, queue_limit, deadline_ms, now_ms):
+    def _has_room(self, queue_limit, waiter, now_ms):
         if len(self._waiting) >= queue_limit:
             return False
         wait_ms = self.estimate_wait_ms(len(self._waiting))
-        remaining_ms = deadline_ms - now_ms
+        remaining_ms = waiter.deadline_ms - now_ms
         return wait_ms <= min(
-            remaining_ms * MAX_WAIT_SHARE, remaining_ms - self._mean_ms
+            remaining_ms * MAX_WAIT_SHARE, remaining_ms - waiter.work_ms
         )
 
-    def _is_in_time(self, deadline_ms, now_ms):
-        return self._mean_ms <= deadline_ms - now_ms
-
     def _refuse(self):
         wait_ms = self.estimate_wait_ms(len(self._waiting))
         retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_ms))
@@ -168,7 +174,7 @@
         elif not waiter.result.cancelled() and waiter.result.result() is None:
             self.leave(0.0, get_monotonic_ms())
 
-    def leave(self, elapsed_ms, now_ms):
+    def leave(self, elapsed_ms, now_ms, kind="", is_cut=False):
         """Give back a slot; the next call that waits takes it.
 
         Parameters
@@ -177,10 +183,15 @@
             Time for which the slot was held in milliseconds; 0 if it was not used.
         now_ms : float
             Present time on the monotonic clock in milliseconds.
+        kind : str, optional
+            Kind of the work.
+        is_cut : bool, optional
+            Whether the work would have gone on for longer.
         """
         if elapsed_ms:
-            weight = MEAN_WEIGHT if self._mean_ms else 1.0
-            self._mean_ms += weight * (elapsed_ms - self._mean_ms)
+            self._mean_ms = _update_mean(self._mean_ms, elapsed_ms, is_cut)
+            known_ms = self._work_ms.get(kind, 0.0)
+            self._work_ms[kind] = _update_mean(known_ms, elapsed_ms, is_cut)
         self._in_flight -= 1
         self._admit_waiting(now_ms)
 
@@ -189,13 +200,20 @@
             waiter = self._waiting.pop(self._pick_next(self._waiting))
             if waiter.result.done():
                 continue
-            if not self._is_in_time(waiter.deadline_ms, now_ms):
+            if waiter.work_ms > waiter.deadline_ms - now_ms:
                 _set_result(waiter, self._refuse())
                 continue
             self._in_flight += 1
             waiter.result.set_result(None)
 
 
+def _update_mean(mean_ms, elapsed_ms, is_cut):
+    if is_cut:
+        elapsed_ms = max(mean_ms, elapsed_ms * CUT_WORK_FACTOR)
+    weight = MEAN_WEIGHT if mean_ms else 1.0
+    return mean_ms + weight * (elapsed_ms - mean_ms)
+
+
 def _make_future():
     return asyncio.get_running_loop().create_future()
 
--- a/packages/node/src/gentianlink/node/proxy/retry_budget.py
+++ b/packages/node/src/gentianlink/node/proxy/retry_budget.py
@@ -24,6 +24,11 @@
         self._updated_ms = now_ms
         self._mean_ms = 0.0
 
+    @property
+    def mean_ms(self):
+        """Mean time of a whole answer in milliseconds."""
+        return self._mean_ms
+
     def record_call(self, now_ms):
         """Add what one call and the time since the last one bring."""
         elapsed_s = max(0.0, now_ms - self._updated_ms) / MS_PER_S
--- a/packages/node/src/gentianlink/node/proxy/router.py
+++ b/packages/node/src/gentianlink/node/proxy/router.py
@@ -12,13 +12,13 @@
     MAX_IDLE_NON_REPEATABLE_MS,
 )
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
-from gentianlink.node.proxy.exchange_call import exchange_call
+from gentianlink.node.proxy.exchange_call import compute_silence_ms, exchange_call
 from gentianlink.node.proxy.refusal import Refusal, combine_refusals
 from gentianlink.node.proxy.retry_budget import RetryBudget
 from gentianlink.ops.choose import NO_FREE_SLOT, choose_endpoint
 
 RETRY_AFTER_MS = 100
-ROUTER_SILENCE_SHARE = 0.7
+SILENCE_SHARE = 0.7
 FAILURE_KINDS = {
     Reason.TARGET_UNREACHABLE: FailureKind.REFUSED,
     Reason.TARGET_LOST: FailureKind.RESET,
@@ -177,6 +177,14 @@
             return Refusal(Reason.TARGET_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
         except ConnectionLimitReached:
             return Refusal(Reason.CONNECTION_LIMIT, retry_after_ms=RETRY_AFTER_MS)
+        silence_ms = self._silence_ms
+        if is_repeatable:
+            now_ms = get_monotonic_ms()
+            mean_ms = self._get_budget(route.entry.service, now_ms).mean_ms
+            remaining_ms = call.get_remaining_ms(now_ms)
+            silence_ms = compute_silence_ms(
+                silence_ms, remaining_ms, SILENCE_SHARE, mean_ms
+            )
         relay = AnswerRelay(
             writer,
             version,
@@ -188,8 +196,7 @@
             stream,
             call,
             relay,
-            self._silence_ms,
-            ROUTER_SILENCE_SHARE if is_repeatable else 1.0,
+            silence_ms,
             target_id=endpoint.target_id,
         )
         if relay.free_slots is not None:
--- a/packages/node/src/gentianlink/node/proxy/test_gate.py
+++ b/packages/node/src/gentianlink/node/proxy/test_gate.py
@@ -79,6 +79,36 @@
 
         assert asyncio.run(run()) == (Reason.DEADLINE_PASSED, 0)
 
+    def test_slow_target_gets_one_call_at_a_time_until_it_is_fast_again(self):
+        async def run():
+            gate = Gate(4)
+            results = []
+            for elapsed_ms, is_cut in ((100, True), (10, False), (10, False)):
+                await fill(gate, 1)
+                second = await gate.enter(10, 150.0, 0.0)
+                results.append(second and second.reason)
+                if second is None:
+                    gate.leave(0.0, 0.0)
+                gate.leave(elapsed_ms, 0.0, is_cut=is_cut)
+            return results, (await gate.enter(10, 150.0, 0.0)), gate.in_flight
+
+        results, _, in_flight = asyncio.run(run())
+        assert results == [None, Reason.OVERLOADED, Reason.OVERLOADED]
+        assert in_flight == 1
+
+    def test_usual_time_is_that_of_the_kind_of_work(self):
+        async def run():
+            gate = Gate(2)
+            await fill(gate, 1)
+            gate.leave(500.0, 0.0, kind="slow")
+            await fill(gate, 1)
+            quick = await gate.enter(10, 100.0, 0.0, kind="quick")
+            gate.leave(1.0, 0.0, kind="quick")
+            slow = await gate.enter(10, 100.0, 0.0, kind="slow")
+            return quick, slow.reason
+
+        assert asyncio.run(run()) == (None, Reason.OVERLOADED)
+
     def test_cancelled_call_leaves_the_queue(self):
         async def run():
             gate = Gate(1)
--- a/packages/node/src/gentianlink/node/proxy/test_streaming.py
+++ b/packages/node/src/gentianlink/node/proxy/test_streaming.py
@@ -126,10 +126,13 @@
 
         assert tools.run(test) == (502, "unknown")
 
-    def test_target_that_closes_early_leaves_no_connection_behind(self, tools):
+    @pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 400 Bad Request\r\n\r\n"])
+    def test_target_that_closes_early_leaves_no_connection_behind(self, tools, answer):
         async def test(bench):
             async def script(reader, writer, number):
                 await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await writer.drain()
 
             node = await start_two_hops(bench, tools, script, body_max_bytes=LARGEST)
             caller = await tools.caller.connect(node)
--- a/packages/node/src/gentianlink/node/proxy/waiting_call.py
+++ b/packages/node/src/gentianlink/node/proxy/waiting_call.py
@@ -19,9 +19,12 @@
         Owner of the entry.
     caller : str
         Name of the caller.
+    work_ms : float
+        Usual time of this kind of work in milliseconds.
     """
 
     result: asyncio.Future
     deadline_ms: float
     owner: str
     caller: str
+    work_ms: float
--- a/packages/ops/src/gentianlink/ops/choose.py
+++ b/packages/ops/src/gentianlink/ops/choose.py
@@ -3,6 +3,7 @@
 import random
 
 NO_FREE_SLOT = 1.0
+SPILL_LOAD = 0.8
 
 
 def choose_endpoint(route, own_record, endpoints, get_load, excluded=(), rng=random):
@@ -44,7 +45,7 @@
 def _get_near(prefer, data_centre, endpoints, get_load):
     for name in (*prefer, data_centre):
         near = [item for item in endpoints if item.data_centre == name]
-        if any(get_load(item) < NO_FREE_SLOT for item in near):
+        if any(get_load(item) < SPILL_LOAD for item in near):
             return near
     free = [item for item in endpoints if get_load(item) < NO_FREE_SLOT]
     return free or endpoints
--- a/packages/testing/src/gentianlink/testing/target.py
+++ b/packages/testing/src/gentianlink/testing/target.py
@@ -36,9 +36,13 @@
     node_url: str
     log: ExecutionLog
     state: TargetState = TargetState.STARTING
+    free_slots: asyncio.Semaphore = attrs.field(init=False)
     in_flight: int = 0
     executions: collections.Counter = attrs.field(factory=collections.Counter)
 
+    def __attrs_post_init__(self):
+        self.free_slots = asyncio.Semaphore(self.slots)
+
     def make_announcement(self):
         """Return what the target says to the node beside it."""
         return Announcement(
@@ -68,6 +72,15 @@
         self._process = process
 
     async def _work(self):
+        self._task = asyncio.current_task()
+        async with self._process.free_slots:
+            await self._work_in_slot()
+
+    def on_connection_close(self):
+        """Cancel the work of a caller that has gone."""
+        self._task.cancel()
+
+    async def _work_in_slot(self):
         process = self._process
         key = self.request.headers.get("Idempotency-Key", "")
         process.in_flight += 1
@@ -115,6 +128,14 @@
         )
 
 
+class WorkTimeHandler(WorkHandler):
+    """Changes how long the work of a call takes."""
+
+    def put(self):
+        """Take the time in milliseconds from the body."""
+        self._process.work_ms = float(self.request.body)
+
+
 async def run_target(process, stop_requested):
     """Serve calls until asked to stop, then drain.
 
@@ -129,6 +150,7 @@
     application = Application(
         [
             ("/stand-in/counts", CountsHandler, arguments),
+            ("/stand-in/work-ms", WorkTimeHandler, arguments),
             ("/.*", WorkHandler, arguments),
         ],
         log_function=lambda handler: None,
