--- a/packages/node/src/gentianlink/node/admin.py
+++ b/packages/node/src/gentianlink/node/admin.py
@@ -9,13 +9,14 @@
 
 from gentianlink.core.announcement import Announcement
 from gentianlink.core.codec import decode
-from gentianlink.core.errors import CodecError
-from gentianlink.core.target_state import TargetState
+from gentianlink.core.errors import AnnouncementInvalid, CodecError
 from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.ops.convergence import format_convergence
 
 STATUS_BAD_REQUEST = 400
 STATUS_UNAVAILABLE = 503
 MAX_BODY_BYTES = 64 * 1024
+MAX_VERSION = 2**63 - 1
 
 
 class _Handler(RequestHandler):
@@ -34,12 +35,11 @@
         """Take in an announcement or a heartbeat."""
         try:
             announcement = decode(self.request.body, Announcement)
-            TargetState(announcement.state)
-        except (CodecError, ValueError) as error:
+            self._node.local_targets.announce(announcement, get_monotonic_ms())
+        except (CodecError, AnnouncementInvalid) as error:
             self.set_status(STATUS_BAD_REQUEST)
-            self.write_json({"error": str(error)})
+            self.write_json({"error": str(error), "type": type(error).__name__})
             return
-        self._node.local_targets.announce(announcement, get_monotonic_ms())
         self.write_json({"version": self._node.applied.version})
 
 
@@ -48,7 +48,7 @@
 
     def delete(self, target_id):
         """Take in that a target has left."""
-        self._node.local_targets.remove(target_id)
+        self._node.local_targets.remove(target_id, get_monotonic_ms())
         self.write_json({})
 
 
@@ -78,6 +78,20 @@
         self.write_json(cattrs.unstructure(self._node.get_status()))
 
 
+class ConvergenceHandler(_Handler):
+    """Says how far a version is in force."""
+
+    async def get(self):
+        """Answer with the state of the version asked for, else of the own one."""
+        text = self.get_query_argument("version", str(self._node.applied.version))
+        if not text.isascii() or not text.isdecimal() or int(text) > MAX_VERSION:
+            self.set_status(STATUS_BAD_REQUEST)
+            self.write_json({"error": "version is not a whole number"})
+            return
+        state = await self._node.compute_convergence(int(text))
+        self.write_json(format_convergence(state))
+
+
 class MetricsHandler(_Handler):
     """Serves metrics in the format of Prometheus."""
 
@@ -114,6 +128,7 @@
             ("/v1/targets", TargetsHandler, arguments),
             ("/v1/targets/([^/]+)", TargetHandler, arguments),
             ("/v1/status", StatusHandler, arguments),
+            ("/v1/convergence", ConvergenceHandler, arguments),
             ("/readyz", ReadyHandler, arguments),
             ("/healthz", HealthHandler, arguments),
             ("/metrics", MetricsHandler, arguments),
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -1,26 +1,39 @@
 """The accepting side of links."""
 
+import asyncio
+
 import grpc
 
-from gentianlink.core.errors import CodecError
+from gentianlink.core.errors import CodecError, LinkRefused
 from gentianlink.node.background import start_task
-from gentianlink.node.mesh import mesh_pb2_grpc
+from gentianlink.node.clock import get_now_ms
+from gentianlink.node.log import get_logger
+from gentianlink.node.mesh import mesh_pb2, mesh_pb2_grpc
+from gentianlink.node.mesh.convergence_service import decode_report, encode_answer
 from gentianlink.node.mesh.link import Link
+from gentianlink.node.mesh.link_end import LinkEnd
+
+_LOG = get_logger("mesh")
 
 SHUTDOWN_GRACE_S = 0.2
+LAST_FRAMES_S = 1.0
+HELLO_TIMEOUT_S = 5.0
 
 
 class MeshServicer(mesh_pb2_grpc.MeshServicer):
-    """Serves the links that other nodes open.
+    """Serves the links that other nodes open, and probes.
 
     Parameters
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     """
 
-    def __init__(self, mesh):
+    def __init__(self, mesh, collector):
         self._mesh = mesh
+        self._collector = collector
 
     async def Link(self, request_iterator, context):  # noqa: N802
         """Serve one link.
@@ -36,28 +49,84 @@
         await context.write(self._mesh.make_hello())
         frames = request_iterator.__aiter__()
         reader = start_task(_read_link(self._mesh, frames, link), "mesh reader")
+        writer = start_task(_write_link(context, link), "mesh writer")
         try:
-            async for frame in link.read_frames():
-                await context.write(frame)
+            await link.wait_closed()
+            if link.end.is_orderly:
+                await asyncio.wait([writer], timeout=LAST_FRAMES_S)
         finally:
             reader.cancel()
+            writer.cancel()
+
+    async def Probe(self, request, context):  # noqa: N802
+        """Answer that this node is alive.
+
+        Parameters
+        ----------
+        request : mesh_pb2.ProbeRequest
+            The probe.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        return mesh_pb2.ProbeAnswer(node=self._mesh.make_hello().hello.node)
+
+    async def Report(self, request, context):  # noqa: N802
+        """Take in the report of a node of this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.NodeReport
+            The report.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        self._collector.take(decode_report(request), get_now_ms())
+        return mesh_pb2.ReportAnswer()
+
+    async def GetConvergence(self, request, context):  # noqa: N802
+        """Answer how far a version is in force in this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.ConvergenceRequest
+            The version.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        return encode_answer(self._collector.compute(request.version))
 
 
 async def _read_link(mesh, frames, link):
     try:
-        hello = await anext(frames)
+        hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
         await mesh.run_link(hello, frames, link)
-    except (StopAsyncIteration, CodecError, grpc.RpcError):
+    except LinkRefused as error:
+        _LOG.info("link refused", peer=link.peer_id, why=str(error))
+        link.refuse(error.reason)
+    except CodecError as error:
+        _LOG.warning("link refused", why=str(error))
+        link.refuse(LinkEnd.MALFORMED)
+    except (StopAsyncIteration, TimeoutError, grpc.RpcError):
+        link.close()
+
+
+async def _write_link(context, link):
+    try:
+        async for frame in link.read_frames():
+            await context.write(frame)
+    except grpc.RpcError:
         link.close()
 
 
-async def start_mesh_server(mesh, address, port):
-    """Start to accept links.
+async def start_mesh_server(mesh, collector, address, port):
+    """Start to accept links, reports and questions.
 
     Parameters
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     address : str
         IP number to listen on.
     port : int
@@ -69,7 +138,7 @@
         The running server.
     """
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
-    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh), server)
+    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh, collector), server)
     server.add_insecure_port(f"{address}:{port}")
     await server.start()
     return server
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,22 +1,28 @@
 """Put the parts of a node together, run them, and stop them gracefully."""
 
 import asyncio
+import random
 
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
-from gentianlink.core.routing_table import RoutingTable
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
-from gentianlink.node.claims.liveness import make_is_live
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
+from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
+from gentianlink.node.mesh.convergence_service import ConvergenceService
+from gentianlink.node.mesh.dialer import compute_backoff_ms
+from gentianlink.node.mesh.failure_detector import FailureDetector
 from gentianlink.node.mesh.mesh import Mesh
+from gentianlink.node.mesh.monitor import TICK_MS, Monitor
 from gentianlink.node.mesh.server import start_mesh_server
 from gentianlink.node.mesh.topology import Topology
 from gentianlink.node.metrics import NodeMetrics
@@ -27,16 +33,22 @@
 from gentianlink.node.proxy.local_targets import LocalTargets
 from gentianlink.node.proxy.router import Router
 from gentianlink.node.proxy.server import CallServer
-from gentianlink.ops.build_table import build_table
+from gentianlink.node.report_collector import ReportCollector
+from gentianlink.node.table_builder import TableBuilder
 from gentianlink.platform.catalogue_store import CatalogueStore
-from gentianlink.platform.names import NODE_PREFIX, get_node_key
+from gentianlink.platform.node_rows import read_node_addresses, write_node_address
 from gentianlink.platform.object_client import ObjectClient
 from gentianlink.platform.table_client import TableClient
 
 _LOG = get_logger("node")
 
 EXPIRE_PERIOD_S = 0.2
-JOIN_SCAN_ROWS = 64
+FETCH_CHECK_S = 0.1
+JOIN_ATTEMPTS_BEFORE_SCAN = 2
+MIN_JOIN_WAIT_MS = 50
+TABLE_BUILD_DELAY_MS = 20
+FIRST_ROW_PERIOD_MS = 30 * 1000
+ROW_PERIOD_MS = 30 * 60 * 1000
 
 
 class Node:
@@ -50,26 +62,52 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._table = RoutingTable()
         self._is_stopping = False
+        self._is_build_due = False
         self._tasks = []
         own_record = make_own_record(settings, get_now_ms())
         self._platform_table = TableClient.from_settings(settings.platform)
-        objects = ObjectClient.from_settings(settings.platform)
-        store = CatalogueStore(self._platform_table, objects)
-        self._applied = AppliedCatalogue(self._on_applied)
-        self._membership = Membership(own_record, self._on_records)
-        self._mesh = Mesh(self._applied, self._membership)
-        self._topology = Topology(self._mesh, self._membership, settings.mesh)
-        self._reader = HeadReader(store, self._applied, self._membership, settings.mesh)
+        self._platform_objects = ObjectClient.from_settings(settings.platform)
+        store = CatalogueStore(self._platform_table, self._platform_objects)
+        self._applied = AppliedCatalogue(self._on_applied, self._on_held)
+        self._membership = Membership(
+            own_record, self._on_records, settings.mesh.dead_after_ms
+        )
+        self._table_builder = TableBuilder(self._membership)
+        self._mesh = Mesh(self._applied, self._membership, settings.mesh)
+        self._detector = FailureDetector(self._membership, self._mesh)
+        self._mesh.set_on_link_lost(self._examine)
+        self._topology = Topology(
+            self._mesh, self._membership, settings.mesh, self._examine
+        )
+        self._monitor = Monitor(
+            self._membership, self._mesh, settings.mesh, self._on_judged
+        )
+        self._collector = ReportCollector(self._membership)
+        self._convergence = ConvergenceService(
+            self._membership,
+            self._applied,
+            self._collector,
+            self._mesh.control_bytes,
+        )
+        self._reader = HeadReader(
+            store,
+            self._applied,
+            self._membership,
+            settings.mesh,
+            lambda: self._mesh.latest_version,
+            lambda: bool(self._mesh.links),
+        )
         self._local_targets = LocalTargets(
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
+        self._claim_counts = ClaimCounts()
         self._claims = AtMostOnce.from_settings(
             settings.claims,
             own_record,
             self._platform_table,
+            self._claim_counts,
             make_is_live(self._membership),
         )
         dispatcher = Dispatcher(
@@ -106,11 +144,11 @@
 
     def get_table(self):
         """Return the current routing table."""
-        return self._table
+        return self._table_builder.table
 
     def is_ready(self):
         """Return whether this node may serve calls."""
-        return self._reader.has_read and not self._is_stopping
+        return self._applied.is_current and not self._is_stopping
 
     def get_status(self):
         """Return what this node says of itself."""
@@ -122,37 +160,70 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            latest_version=self._applied.latest.version,
+            refused=self._applied.refused,
+            control_bytes=self._mesh.control_bytes.totals,
+            accepted_ms=self._applied.accepted_ms,
+            complete_version=self._collector.complete_version,
+            complete_ms=self._collector.complete_ms,
             links=tuple(sorted(self._mesh.links)),
             nodes=len(self._membership.get_live_nodes()),
             endpoints={
                 prefix: len(route.endpoints)
-                for prefix, route in self._table.routes.items()
+                for prefix, route in self.get_table().routes.items()
             },
             in_flight=self._calls.in_flight,
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
-            platform_reads=self._platform_table.reads,
+            records=self._membership.buckets.count,
+            records_digest=f"{self._membership.digest:016x}",
+            table_builds=self._table_builder.builds,
+            platform_reads=self._platform_table.reads + self._platform_objects.reads,
             platform_writes=self._platform_table.writes,
+            claims=self._claim_counts.get_all(),
+            claims_pending=self._claims.pending,
+            platform_bytes=self._platform_table.transferred_bytes
+            + self._platform_objects.transferred_bytes,
         )
 
+    async def compute_convergence(self, version):
+        """Return how far a version is in force over all live nodes."""
+        return await self._convergence.compute(version)
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
 
     def _on_applied(self):
-        self._rebuild_table()
-        self._mesh.spread_version()
+        self._build_table()
+        self._convergence.notify()
         _LOG.info("version in force", version=self._applied.version)
 
+    def _on_held(self):
+        self._convergence.notify()
+        self._mesh.spread_version()
+
     def _on_records(self, nodes, targets, source):
-        self._rebuild_table()
+        self._mark_changed(nodes, targets)
         self._mesh.spread_records(nodes, targets, source)
 
-    def _rebuild_table(self):
-        self._table = build_table(
-            self._applied.catalogue, self._membership.nodes, self._membership.targets
-        )
+    def _on_judged(self, nodes):
+        self._mark_changed(nodes, [])
+
+    def _mark_changed(self, nodes, targets):
+        self._table_builder.mark_changed(nodes, targets)
+        if not self._is_build_due:
+            self._is_build_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(TABLE_BUILD_DELAY_MS / 1000, self._build_table)
+
+    def _build_table(self):
+        self._is_build_due = False
+        self._table_builder.build(self._applied.catalogue)
+
+    def _examine(self, node_id):
+        self._detector.examine(node_id, get_monotonic_ms())
 
     async def run(self, stop_requested):
         """Run until asked to stop, then stop without cutting a call.
@@ -164,16 +235,19 @@
         """
         listen = self._settings.listen
         mesh_server = await start_mesh_server(
-            self._mesh, listen.address, listen.mesh_port
+            self._mesh, self._collector, listen.address, listen.mesh_port
         )
         start_admin_server(self, listen.address, listen.admin_port)
         self._calls.listen(listen.address, listen.call_port)
         for work in (
             self._reader.run(),
             self._run_topology(),
-            self._run_heartbeats(),
+            self._run_monitor(),
+            self._run_version_fetch(),
+            self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
@@ -182,7 +256,7 @@
 
     async def _stop(self, mesh_server):
         _LOG.info("node stopping")
-        self._local_targets.drain_all()
+        self._local_targets.drain_all(get_monotonic_ms())
         await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
         self._is_stopping = True
         self._calls.stop_listening()
@@ -191,30 +265,44 @@
         await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
+        self._membership.leave(get_monotonic_ms())
+        self._mesh.flush_records()
+        self._mesh.close()
         self._topology.close()
+        self._convergence.close()
         self._pool.close()
         await mesh_server.stop(0.1)
         _LOG.info("node stopped")
 
     async def _run_topology(self):
+        attempt = 0
         while True:
             addresses = ()
-            if not self._mesh.links:
+            attempt = 0 if self._mesh.links else attempt + 1
+            has_tried_seeds = attempt > JOIN_ATTEMPTS_BEFORE_SCAN
+            if attempt and (has_tried_seeds or not self._settings.mesh.seeds):
                 addresses = await self._find_addresses()
-            self._topology.update(addresses)
-            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+            self._topology.update(get_monotonic_ms(), addresses)
+            wait_ms = self._settings.mesh.heartbeat_ms
+            if not self._mesh.links:
+                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
+            await asyncio.sleep(wait_ms / 1000)
 
     async def _find_addresses(self):
         try:
-            rows = await self._platform_table.scan(NODE_PREFIX, limit=JOIN_SCAN_ROWS)
+            return await read_node_addresses(self._platform_table)
         except PlatformError:
             return ()
-        return tuple(row.value for row in rows)
 
-    async def _run_heartbeats(self):
+    async def _run_monitor(self):
         while True:
-            self._mesh.send_heartbeats()
-            await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+            self._monitor.tick(get_monotonic_ms())
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def _run_version_fetch(self):
+        while True:
+            self._mesh.ask_for_version()
+            await asyncio.sleep(FETCH_CHECK_S)
 
     async def _run_expiry(self):
         while True:
@@ -224,16 +312,32 @@
             self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
+    async def _run_cleaner(self):
+        settings = self._settings.claims
+        cleaner = Cleaner.from_settings(
+            settings, self._platform_table, self._claim_counts
+        )
+        is_cleaner = make_is_cleaner(self._membership)
+        await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
+
     async def _publish_own_row(self):
         own = self._membership.own_record
-        key = get_node_key(own.data_centre, own.node_id)
         address = f"{own.address}:{own.mesh_port}"
+        attempt = 0
+        period_ms = FIRST_ROW_PERIOD_MS
         while True:
             try:
-                await self._platform_table.transact([(key, address)])
-                return
+                await write_node_address(
+                    self._platform_table, own.data_centre, own.node_id, address
+                )
+                self._topology.add_candidates(await self._find_addresses())
+                wait_ms = random.uniform(0.5, 1.5) * period_ms
+                period_ms = ROW_PERIOD_MS
+                attempt = 0
             except PlatformError:
-                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
+                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
+                attempt += 1
+            await asyncio.sleep(wait_ms / 1000)
 
 
 def make_own_record(settings, now_ms):
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -21,6 +21,19 @@
         Digest of that version.
     applied_ms : dict of int to int
         When versions came into force, in milliseconds since the epoch.
+    latest_version : int
+        Latest catalogue version held, in force or refused.
+    refused : dict of int to str
+        Reasons for which versions were refused.
+    control_bytes : dict of str to int
+        Bytes of frames between nodes by direction and kind.
+    accepted_ms : dict of int to int
+        When versions were accepted, in milliseconds since the epoch.
+    complete_version : int
+        Latest version in force on every node of the data centre, as far as this
+        node collected reports.
+    complete_ms : int
+        When that was known, in milliseconds since the epoch.
     links : tuple of str
         Neighbours.
     nodes : int
@@ -31,10 +44,22 @@
         Calls that are being handled.
     outcomes : dict of str to int
         Numbers of calls by outcome.
+    records : int
+        Live records of nodes and targets.
+    records_digest : str
+        Digest of these records; equal on nodes with the same view.
+    table_builds : int
+        Routing tables built.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
         Writes sent to the platform.
+    claims : dict of str to int
+        Results of at-most-once calls by kind.
+    claims_pending : dict of str to int
+        At-most-once calls and writes under way.
+    platform_bytes : int
+        Bytes exchanged with the platform.
     """
 
     node_id: str
@@ -43,10 +68,38 @@
     version: int
     digest: str
     applied_ms: dict[int, int]
+    latest_version: int
+    refused: dict[int, str]
+    control_bytes: dict[str, int]
+    accepted_ms: dict[int, int]
+    complete_version: int
+    complete_ms: int
     links: tuple[str, ...]
     nodes: int
     endpoints: dict[str, int]
     in_flight: int
     outcomes: dict[str, int]
+    records: int
+    records_digest: str
+    table_builds: int
     platform_reads: int
     platform_writes: int
+    claims: dict[str, int]
+    claims_pending: dict[str, int]
+    platform_bytes: int
+
+    @property
+    def own_convergence_ms(self):
+        """Time from acceptance to this node for the version in force, or None."""
+        return self._compute_convergence(self.version, self.applied_ms)
+
+    @property
+    def data_centre_convergence_ms(self):
+        """Time from acceptance to the last node of the data centre, or None."""
+        times = {self.complete_version: self.complete_ms}
+        return self._compute_convergence(self.complete_version, times)
+
+    def _compute_convergence(self, version, times):
+        if version not in self.accepted_ms or version not in times:
+            return None
+        return times[version] - self.accepted_ms[version]
