--- a/packages/ops/src/gentianlink/ops/choose.py
+++ b/packages/ops/src/gentianlink/ops/choose.py
@@ -10,8 +10,8 @@
     """Choose the local target if it has a free slot, else by two random candidates.
 
     Candidates are the endpoints of the preferred data centres, then of this node's
-    own, as long as any of them has a free slot; then all endpoints with a free slot,
-    and all endpoints if there is none.
+    own, as long as any of them is below the spill load; then all endpoints with a free
+    slot, and all endpoints if there is none.
 
     Parameters
     ----------
