--- a/packages/testing/src/gentianlink/testing/fleet.py
+++ b/packages/testing/src/gentianlink/testing/fleet.py
@@ -114,7 +114,7 @@
         """Start the platform stand-in."""
         arguments = (self._platform_address, str(self._platform_port))
         module = "gentianlink.testing.platform_service"
-        self._platform = self._start([sys.executable, "-m", module, *arguments])
+        self._platform = self.start([sys.executable, "-m", module, *arguments])
 
     def add_member(self, service, number, data_centre_number):
         """Add a node and its target without starting them.
@@ -153,7 +153,7 @@
         )
         path.write_text(text)
         binary = pathlib.Path(sys.executable).parent / "gentianlink-node"
-        member.node = self._start([str(binary), str(path)])
+        member.node = self.start([str(binary), str(path)])
 
     def start_target(self, member, slots, work_ms):
         """Start the target of a member."""
@@ -163,9 +163,10 @@
         command += [member.admin_url, "--address", member.address]
         command += ["--slots", str(slots), "--work-ms", str(work_ms)]
         command += ["--log-path", str(self.get_execution_log_path(member))]
-        member.target = self._start(command)
+        member.target = self.start(command)
 
-    def _start(self, command):
+    def start(self, command):
+        """Start a process whose output goes to the log."""
         return subprocess.Popen(command, stdout=self._log, stderr=self._log)
 
     def stop(self):
--- a/packages/testing/src/gentianlink/testing/load.py
+++ b/packages/testing/src/gentianlink/testing/load.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import time
 
 import attrs
 
@@ -111,21 +112,21 @@
     rng = random.Random(seed)
     lead_s = deadline_ms / MS_PER_S
     result = LoadResult(seconds - lead_s)
-    loop = asyncio.get_running_loop()
+    get_time_s = time.perf_counter
     tasks = set()
 
     async def run_one(number):
-        started_s = loop.time()
+        started_s = get_time_s()
         answer = await send(number, result)
-        now_s = loop.time()
+        now_s = get_time_s()
         elapsed_ms = (now_s - started_s) * MS_PER_S
         result.add(answer, elapsed_ms, deadline_ms, begin_s <= now_s <= end_s)
 
-    next_s = loop.time()
+    next_s = get_time_s()
     begin_s = next_s + lead_s
     end_s = next_s + seconds
     while next_s < end_s:
-        await asyncio.sleep(next_s - loop.time())
+        await asyncio.sleep(next_s - get_time_s())
         tasks.add(asyncio.create_task(run_one(result.calls)))
         result.calls += 1
         next_s += rng.expovariate(rate)
