Change headers in place on the call path

Change: the headers of a message are stripped in place; each attempt overwrites deadline, attempt and target. A caller can't have Content-Length or Host dropped by naming them in Connection any more, which would have left a body without framing.

--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -6,7 +6,7 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.proxy.answer_writer import copy_headers, mark_done
+from gentianlink.node.proxy.answer_writer import mark_done, strip_headers
 from gentianlink.node.proxy.errors import CallerGone
 from gentianlink.node.proxy.refusal import Refusal
 
@@ -54,6 +54,7 @@
         self._is_writing = False
         self._on_finish = None
         self._free_slots = None
+        self._is_kept_open = False
         self.progress_ms = 0.0
 
     @property
@@ -66,6 +67,11 @@
         """Whether the whole answer arrived."""
         return self._is_finished
 
+    @property
+    def is_kept_open(self):
+        """Whether the other end keeps the connection open after the answer."""
+        return self._is_kept_open
+
     @property
     def is_bad(self):
         """Whether the end of the answer can't be told from a cut."""
@@ -117,7 +123,8 @@
             return
         self._status = start_line.code
         self._is_bad = not self._has_known_end(headers)
-        self._headers = copy_headers(headers)
+        self._headers = headers
+        self._is_kept_open = headers.get("Connection", "").lower() != "close"
         self._refusal = self._read_refusal(start_line.code, headers)
         self._free_slots = read_number(headers, names.FREE_SLOTS)
 
@@ -173,6 +180,7 @@
         self._writer.finish()
 
     def _mark_done(self):
+        strip_headers(self._headers)
         free_slots = None
         if self._get_free_slots is not None:
             free_slots = self._get_free_slots()
--- a/packages/node/src/gentianlink/node/proxy/answer_writer.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_writer.py
@@ -12,17 +12,19 @@
 
 HOP_BY_HOP = frozenset(
     (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
     )
 )
+NEVER_HOP_BY_HOP = frozenset(("content-length", "host"))
+HEADERS_OF_REFUSALS = (names.REASON, names.RETRY_AFTER_MS, names.FREE_SLOTS)
 MS_PER_S = 1000
 
 
@@ -143,26 +145,24 @@
     return f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
 
 
-def copy_headers(headers):
-    """Return the end-to-end headers of a message.
+def strip_headers(headers, also=()):
+    """Remove the headers of a message that concern one connection only.
 
     Parameters
     ----------
     headers : HTTPHeaders
-        Headers that arrived.
-
-    Returns
-    -------
-    HTTPHeaders
-        Headers without those that concern one connection only.
+        Headers that arrived; changed in place.
+    also : collection of str, optional
+        Further names to remove, in the usual case of letters.
     """
-    listed = headers.get("Connection", "").lower().split(",")
-    dropped = HOP_BY_HOP.union(name.strip() for name in listed)
-    copied = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name.lower() not in dropped:
-            copied.add(name, value)
-    return copied
+    listed = headers.get("Connection")
+    if listed is not None:
+        for name in listed.split(","):
+            if name.strip().lower() not in NEVER_HOP_BY_HOP:
+                headers.pop(name.strip(), None)
+    for name in list(headers):
+        if name in HOP_BY_HOP or name in also:
+            del headers[name]
 
 
 def mark_done(headers, version, free_slots=None):
@@ -179,7 +179,8 @@
     """
     headers[names.OUTCOME] = Outcome.DONE.value
     headers[names.VERSION] = str(version)
-    for name in (names.REASON, names.RETRY_AFTER_MS, names.FREE_SLOTS):
-        headers.pop(name, None)
+    for name in HEADERS_OF_REFUSALS:
+        if name in headers:
+            del headers[name]
     if free_slots is not None:
         headers[names.FREE_SLOTS] = str(free_slots)
--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -6,12 +6,23 @@
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_relay import read_number
+from gentianlink.node.proxy.answer_writer import strip_headers
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.call_parser import parse_attempt, parse_caller
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_body import RequestBody
 
 BUFFER_BYTES = 64 * 1024
+HEADERS_NOT_SENT_ON = frozenset(
+    (
+        names.OUTCOME,
+        names.REASON,
+        names.RETRY_AFTER_MS,
+        names.FREE_SLOTS,
+        names.VERSION,
+        "Expect",
+    )
+)
 METHODS_WITH_CHUNKED_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -129,7 +140,9 @@
             self._task.cancel()
 
     def make_call(self, remaining_ms):
-        """Return the call that was read.
+        """Return the call that was read, with the headers that are sent on.
+
+        Headers that only answers may carry are not taken over.
 
         Parameters
         ----------
@@ -141,14 +154,22 @@
         Call
             The call.
         """
+        headers = self.headers
+        body = b"".join(self._chunks)
+        caller = parse_caller(headers, self._remote_address)
+        attempt = parse_attempt(headers)
+        strip_headers(headers, HEADERS_NOT_SENT_ON)
+        headers[names.CALLER] = caller
+        if body:
+            headers["Content-Length"] = str(len(body))
         return Call(
             method=self.start_line.method,
             target=self.start_line.path,
-            headers=self.headers,
-            body=b"".join(self._chunks),
+            headers=headers,
+            body=body,
             deadline_ms=self._started_ms + remaining_ms,
-            key=self.headers.get(names.IDEMPOTENCY_KEY, ""),
-            attempt=parse_attempt(self.headers),
-            caller=parse_caller(self.headers, self._remote_address),
+            key=headers.get(names.IDEMPOTENCY_KEY, ""),
+            attempt=attempt,
+            caller=caller,
             stream=self._stream,
         )
--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -15,7 +15,7 @@
 _PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
 
 
-async def run_exchange(stream, call, headers, relay, silence_ms):
+async def run_exchange(stream, call, relay, silence_ms):
     """Send a call and relay its answer.
 
     Parameters
@@ -24,8 +24,6 @@
         Connection that no other exchange uses.
     call : Call
         The call.
-    headers : HTTPHeaders
-        Headers to send.
     relay : AnswerRelay
         Takes the answer.
     silence_ms : float
@@ -55,7 +53,7 @@
     timer.start(get_monotonic_ms())
     sending = None
     try:
-        sending = _send(connection, call, headers)
+        sending = _send(connection, call)
         if sending is not None:
             relay.set_finish_callback(lambda: sending.done() or stream.close())
         is_open = await connection.read_response(relay)
@@ -70,17 +68,16 @@
     if timer.error or relay.is_bad or relay.is_abandoned or not relay.is_finished:
         stream.close()
         raise _get_failure(timer, relay)
-    is_kept = relay.headers.get("Connection", "").lower() != "close"
-    return is_open and is_sent and is_kept
+    return is_open and is_sent and relay.is_kept_open
 
 
-def _send(connection, call, headers):
+def _send(connection, call):
     start_line = RequestStartLine(call.method, call.target, "HTTP/1.1")
     if call.stream is None:
-        connection.write_headers(start_line, headers, call.body or None)
+        connection.write_headers(start_line, call.headers, call.body or None)
         connection.finish()
         return None
-    connection.write_headers(start_line, headers, call.stream.prefix or None)
+    connection.write_headers(start_line, call.headers, call.stream.prefix or None)
     return start_task(_send_stream(connection, call.stream), "request body")
 
 
--- a/packages/node/src/gentianlink/node/proxy/exchange_call.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_call.py
@@ -6,7 +6,6 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.proxy.answer_writer import copy_headers
 from gentianlink.node.proxy.errors import (
     BadAnswer,
     CallerGone,
@@ -25,15 +24,6 @@
     BadAnswer: Reason.BAD_ANSWER,
 }
 SILENT_ANSWERS = 4
-HEADERS_OF_ANSWERS = (
-    names.OUTCOME,
-    names.REASON,
-    names.RETRY_AFTER_MS,
-    names.FREE_SLOTS,
-    names.VERSION,
-    names.TARGET,
-    "Expect",
-)
 
 
 def compute_silence_ms(limit_ms, remaining_ms, share, mean_ms):
@@ -93,12 +83,10 @@
     if remaining_ms <= 0:
         pool.release(stream, True, get_monotonic_ms())
         return Refusal(Reason.DEADLINE_PASSED)
-    headers = make_target_headers(call, remaining_ms)
-    if target_id is not None:
-        headers[names.TARGET] = target_id
+    set_target_headers(call, remaining_ms, target_id)
     is_reusable = False
     try:
-        is_reusable = await run_exchange(stream, call, headers, relay, silence_ms)
+        is_reusable = await run_exchange(stream, call, relay, silence_ms)
     except (CallerGone, asyncio.CancelledError):
         raise
     except ExchangeError as error:
@@ -108,28 +96,22 @@
     return relay.refusal
 
 
-def make_target_headers(call, remaining_ms):
-    """Return the headers that a target or the node beside it receives.
+def set_target_headers(call, remaining_ms, target_id):
+    """Set the headers that a target or the node beside it receives.
 
     Parameters
     ----------
     call : Call
-        The call.
+        The call; its headers are changed in place.
     remaining_ms : float
         Time until the deadline in milliseconds.
-
-    Returns
-    -------
-    HTTPHeaders
-        End-to-end headers of the caller, with the remaining time. Headers that only
-        answers may carry, and the choice of a target, are not taken over.
+    target_id : str or None
+        Target that the node at the other end should use.
     """
-    headers = copy_headers(call.headers)
-    for name in HEADERS_OF_ANSWERS:
-        headers.pop(name, None)
+    headers = call.headers
     headers[names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
     headers[names.ATTEMPT] = str(call.attempt)
-    headers[names.CALLER] = call.caller
-    if call.body:
-        headers["Content-Length"] = str(len(call.body))
-    return headers
+    if target_id is not None:
+        headers[names.TARGET] = target_id
+    elif names.TARGET in headers:
+        del headers[names.TARGET]
--- a/packages/node/src/gentianlink/node/proxy/test_server.py
+++ b/packages/node/src/gentianlink/node/proxy/test_server.py
@@ -225,6 +225,31 @@
             "x-gentianlink-caller: 127.0.0.1",
         ]
 
+    def test_framing_cannot_be_dropped_by_naming_it_hop_by_hop(self, tools):
+        async def test(bench):
+            heads = []
+
+            async def script(reader, writer, number):
+                while True:
+                    head, _ = await tools.read_request(reader)
+                    heads.append(head.split("\r\n")[0])
+                    writer.write(tools.make_answer(b""))
+
+            node = await bench.start_simple(script, body_max_bytes=1 << 20)
+            caller = await tools.caller.connect(node)
+            inner = tools.make_request("GET", "/x/smuggled")
+            body = inner + b"a" * 100_000
+            caller.send(
+                tools.make_request(
+                    "DELETE", "/x", body, Connection="Content-Length, Host"
+                )
+            )
+            await caller.read_answer()
+            await caller.get("/x/next")
+            return heads
+
+        assert tools.run(test) == ["DELETE /x HTTP/1.1", "GET /x/next HTTP/1.1"]
+
     def test_call_is_refused_while_the_node_is_not_ready(self, tools):
         async def test(bench):
             node = await bench.start_simple(tools.echo_path)
--- a/packages/testing/src/gentianlink/testing/latency_experiment.py
+++ b/packages/testing/src/gentianlink/testing/latency_experiment.py
@@ -81,11 +81,13 @@
     print_times("one caller", times)
 
 
-async def measure_capacity(caller, process):
+async def measure_capacity(name, caller, process):
     """Measure how many calls one node carries with many waiting callers.
 
     Parameters
     ----------
+    name : str
+        Name of the path.
     caller : Caller
         Caller of the node.
     process : subprocess.Popen
@@ -109,7 +111,7 @@
     used_s = read_cpu_seconds(process) - before_s
     rate = sum(counts) / CAPACITY_SECONDS
     a_core = sum(counts) / used_s
-    print(f"capacity   one hop  {rate:.0f} calls/s, {a_core:.0f} calls/s a core")
+    print(f"capacity   {name:8} {rate:.0f} calls/s, {a_core:.0f} calls/s a core")
     return a_core
 
 
@@ -144,7 +146,9 @@
     await measure_single(callers)
     print(f"target     added p99 {TARGET_ADDED_MS} ms")
     if not only_single:
-        capacity = await measure_capacity(callers["one hop"], beside.node)
+        one, two = "one hop", "two hops"
+        await measure_capacity(one, callers[one], beside.node)
+        capacity = await measure_capacity(two, callers[two], far.node)
         for share in (0.3, 0.8):
             rate = capacity * share
             await measure_load(callers, rate, f"{share:.0%} load")
