--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -117,7 +117,6 @@
         try:
             while await self._serve_request(stream, remote_address):
                 self._streams[stream] = get_monotonic_ms()
-                await asyncio.sleep(0)
         except (StreamClosedError, UnsatisfiableReadError, ConnectionError):
             return
         finally:
