--- a/packages/platform/src/gentianlink/platform/test_node_rows.py
+++ b/packages/platform/src/gentianlink/platform/test_node_rows.py
@@ -1,10 +1,11 @@
 import asyncio
 import random
 
+from gentianlink.platform.names import NODE_PREFIX
 from gentianlink.platform.node_rows import (
     MAX_ROWS_READ,
     ROWS_PER_DATA_CENTRE,
-    get_node_row_key,
+    get_row_key,
     read_node_addresses,
     write_node_address,
 )
@@ -40,7 +41,7 @@
         table = FakeTable()
         asyncio.run(write_node_address(table, "dc", "a", "127.0.0.1:1"))
         asyncio.run(write_node_address(table, "dc", "a", "127.0.0.1:2"))
-        assert table.rows == {get_node_row_key("dc", "a"): "127.0.0.1:2"}
+        assert table.rows == {get_row_key(NODE_PREFIX, "dc", "a"): "127.0.0.1:2"}
 
     def test_few_rows_are_all_read_wherever_the_part_begins(self):
         table = FakeTable()
