Switch delayed writes off once for each connection of a caller

Cause: the library switches them off and on again for each answer (two system calls), and leaves them on for parts of a streamed answer, which can wait for an acknowledgement.

--- a/packages/node/src/gentianlink/node/proxy/call_stream.py
+++ b/packages/node/src/gentianlink/node/proxy/call_stream.py
@@ -1,5 +1,7 @@
 """A caller's connection; it answers requests that can't be parsed with a refusal."""
 
+import socket
+
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
@@ -47,10 +49,14 @@
     """
 
     def __init__(self, connection, **options):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(connection, **options)
         self._is_answering = False
         self.is_answer_due = False
 
+    def set_nodelay(self, value):
+        """Ignore changes: small writes are never delayed on these connections."""
+
     def begin_request(self):
         """Note that the next bytes written begin an answer."""
         self._is_answering = False
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -113,7 +113,6 @@
         start_task(self._serve_connection(stream, address[0]), "connection")
 
     async def _serve_connection(self, stream, remote_address):
-        stream.set_nodelay(True)
         self._streams[stream] = get_monotonic_ms()
         try:
             while await self._serve_request(stream, remote_address):
