--- a/packages/node/src/gentianlink/node/admin.py
+++ b/packages/node/src/gentianlink/node/admin.py
@@ -10,6 +10,7 @@
     ("/v1/targets", handlers.TargetsHandler),
     ("/v1/targets/([^/]+)", handlers.TargetHandler),
     ("/v1/status", handlers.StatusHandler),
+    ("/v1/convergence", handlers.ConvergenceHandler),
     ("/v1/nodes", handlers.NodesHandler),
     ("/v1/explain", handlers.ExplainHandler),
     ("/v1/reload", handlers.ReloadHandler),
--- a/packages/node/src/gentianlink/node/admin_handlers.py
+++ b/packages/node/src/gentianlink/node/admin_handlers.py
@@ -1,6 +1,7 @@
 """Handlers of the admin port; every failure is answered by a typed JSON object."""
 
 import http
+import re
 
 import cattrs
 import orjson
@@ -14,12 +15,14 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.errors import AdminRequestInvalid
 from gentianlink.node.log import get_logger
+from gentianlink.ops.convergence import format_convergence
 
 _LOG = get_logger("admin")
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_READ_BYTES = 1 << 20
 MAX_PATH_CHARACTERS = 4096
+_VERSION = re.compile(r"[0-9]{1,18}")
 
 
 class AdminHandler(RequestHandler):
@@ -135,6 +138,20 @@
         self.write_json(cattrs.unstructure(self._node.get_status()))
 
 
+class ConvergenceHandler(AdminHandler):
+    """Says how far a version is in force."""
+
+    async def get(self):
+        """Answer with the state of the version asked for, else of the own one."""
+        text = self.get_query_argument("version", str(self._node.applied.version))
+        if not _VERSION.fullmatch(text):
+            raise AdminRequestInvalid(
+                http.HTTPStatus.BAD_REQUEST, "version is not a whole number"
+            )
+        state = await self._node.compute_convergence(int(text))
+        self.write_json(format_convergence(state))
+
+
 class NodesHandler(AdminHandler):
     """Lists the nodes that this node knows."""
 
--- a/packages/testing/src/gentianlink/testing/test_node_process.py
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -164,6 +164,7 @@
         data_centre="kingston-1",
         address=ADDRESS,
         platform_url="http://127.0.0.1:1",
+        mesh_settings="",
         **values,
     )
     path = directory / "n1.ini"
