Count calls by class and reason, retries, slots and queues

The status and the metrics of a node say outcomes by class of work, refusals by reason, retries, use of slots and queues of the targets beside it, readiness, live nodes, and why the last read of the head failed; 'status' tells operators the last of these for a node that is behind. explain passes the present time to the load view, whose signature had changed.

--- a/packages/node/src/gentianlink/node/head_reader.py
+++ b/packages/node/src/gentianlink/node/head_reader.py
@@ -148,8 +148,14 @@
         self._has_neighbours = has_neighbours
         self._rng = rng
         self._failures = 0
+        self._failure = ""
         self._behind_since_ms = None
 
+    @property
+    def failure(self):
+        """Why the last read failed; empty if it did not."""
+        return self._failure
+
     async def run(self):
         """Read the head again and again until cancelled."""
         while True:
@@ -195,8 +201,10 @@
                 await self._take_in(head, now_ms)
         except (PlatformError, CatalogueError, CodecError) as error:
             self._failures += 1
+            self._failure = f"{type(error).__name__}: {error}"
             _LOG.warning("head not read", why=type(error).__name__, detail=str(error))
             return
+        self._failure = ""
         is_behind = head.version > self._applied.latest.version
         self._failures = self._failures + 1 if is_behind else 0
 
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -23,7 +23,6 @@
         self._claims_pending = Gauge(
             "gentianlink_claims_pending", "At-most-once calls and writes under way."
         )
-
         self._platform_bytes = Gauge(
             "gentianlink_platform_bytes", "Bytes exchanged with the platform."
         )
@@ -38,6 +37,23 @@
             "Time from acceptance to this node, or to the last of its data centre.",
         )
 
+        self._class_calls = Gauge(
+            "gentianlink_calls_by_class", "Calls by class of work and outcome."
+        )
+        self._refusals = Gauge("gentianlink_refusals", "Refused calls by reason.")
+        self._retries = Gauge(
+            "gentianlink_retries", "Further attempts after the first ones of calls."
+        )
+        self._slots = Gauge(
+            "gentianlink_slots", "Slots of the targets beside this node by use."
+        )
+        self._queued = Gauge("gentianlink_queued_calls", "Calls that wait for a slot.")
+        self._ready = Gauge("gentianlink_ready", "1 if this node wants new calls.")
+        self._nodes = Gauge("gentianlink_live_nodes", "Live nodes known.")
+        self._head_failing = Gauge(
+            "gentianlink_head_read_failing", "1 if the last read of the head failed."
+        )
+
     def update(self, status):
         """Take over the numbers of a status.
 
@@ -67,3 +83,18 @@
             labels = {"scope": "data_centre"}
             self._convergence.set(labels, status.data_centre_convergence_ms)
         self._platform_bytes.set({}, status.platform_bytes)
+        self._ready.set({}, int(status.ready))
+        self._nodes.set({}, status.nodes)
+        self._head_failing.set({}, int(bool(status.platform_failure)))
+        self._retries.set({}, status.retries)
+        for name, count in status.calls_by_class.items():
+            work_class, _, outcome = name.partition(" ")
+            self._class_calls.set({"class": work_class, "outcome": outcome}, count)
+        for reason, count in status.refusals.items():
+            self._refusals.set({"reason": reason}, count)
+        self._slots.values.clear()
+        self._queued.values.clear()
+        for target_id, load in status.targets.items():
+            self._slots.set({"target": target_id, "use": "free"}, load.free_slots)
+            self._slots.set({"target": target_id, "use": "taken"}, load.in_flight)
+            self._queued.set({"target": target_id}, load.queued)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -111,7 +111,7 @@
         )
         self._load = LoadView()
         self._health = EndpointHealth()
-        router = Router(
+        self._router = Router(
             own_record,
             dispatcher,
             self._pool,
@@ -119,7 +119,9 @@
             self._health,
             settings.calls.silence_timeout_ms,
         )
-        self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
+        self._calls = CallServer(
+            self._router, dispatcher, self.get_table, self.is_serving
+        )
         self._metrics = NodeMetrics()
 
     @classmethod
@@ -164,6 +166,7 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            platform_failure=self._reader.failure,
             latest_version=self._applied.latest.version,
             refused=self._applied.refused,
             control_bytes=self._mesh.control_bytes.totals,
@@ -180,6 +183,10 @@
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
+            calls_by_class=self._calls.counts.by_class,
+            refusals=self._calls.counts.refusals,
+            retries=self._router.retries,
+            targets=self._local_targets.get_loads(),
             platform_reads=self._platform_table.reads + self._platform_objects.reads,
             platform_writes=self._platform_table.writes,
             claims=self._claim_counts.get_all(),
@@ -211,10 +218,13 @@
             self._membership.own_record,
             self._membership.nodes,
             self._membership.targets.values(),
-            self._load.get_load,
+            self._get_load,
             self._get_avoidance,
         )
 
+    def _get_load(self, endpoint):
+        return self._load.get_load(endpoint, get_monotonic_ms())
+
     def _get_avoidance(self, target_id):
         is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
         return AVOIDED if is_avoided else ""
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gentianlink.core.target_load import TargetLoad
+
 
 @attrs.frozen
 class NodeStatus:
@@ -21,6 +23,8 @@
         Digest of that version.
     applied_ms : dict of int to int
         When versions came into force, in milliseconds since the epoch.
+    platform_failure : str
+        Why the last read of the head failed; empty if it did not.
     latest_version : int
         Latest catalogue version held, in force or refused.
     refused : dict of int to str
@@ -44,6 +48,14 @@
         Calls that are being handled.
     outcomes : dict of str to int
         Numbers of calls by outcome.
+    calls_by_class : dict of str to int
+        Numbers of calls by class of work and outcome.
+    refusals : dict of str to int
+        Numbers of refused calls by reason.
+    retries : int
+        Further attempts after the first ones of calls.
+    targets : dict of str to TargetLoad
+        Use of slots and queues beside this node.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
@@ -62,6 +74,7 @@
     version: int
     digest: str
     applied_ms: dict[int, int]
+    platform_failure: str
     latest_version: int
     refused: dict[int, str]
     control_bytes: dict[str, int]
@@ -73,6 +86,10 @@
     endpoints: dict[str, int]
     in_flight: int
     outcomes: dict[str, int]
+    calls_by_class: dict[str, int]
+    refusals: dict[str, int]
+    retries: int
+    targets: dict[str, TargetLoad]
     platform_reads: int
     platform_writes: int
     claims: dict[str, int]
--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -42,6 +42,7 @@
         self.start_line = None
         self.headers = None
         self.refusal = None
+        self.work_class = None
 
     @property
     def path(self):
--- a/packages/node/src/gentianlink/node/proxy/local_targets.py
+++ b/packages/node/src/gentianlink/node/proxy/local_targets.py
@@ -1,5 +1,6 @@
 """The targets beside this node, as they announce themselves."""
 
+from gentianlink.core.target_load import TargetLoad
 from gentianlink.core.target_record import TargetRecord
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.proxy.gate import Gate
@@ -31,6 +32,25 @@
         """Return all targets beside this node."""
         return list(self._targets.values())
 
+    def get_loads(self):
+        """Return how busy the targets beside this node are, by name.
+
+        Returns
+        -------
+        dict of str to TargetLoad
+            Use of slots and queue of each target.
+        """
+        return {
+            target.target_id: TargetLoad(
+                service=target.service,
+                state=target.state.value,
+                in_flight=target.gate.in_flight,
+                free_slots=target.gate.free_slots,
+                queued=target.gate.queued,
+            )
+            for target in self.get_all()
+        }
+
     def announce(self, announcement, now_ms):
         """Take in an announcement or a heartbeat.
 
--- a/packages/node/src/gentianlink/node/proxy/router.py
+++ b/packages/node/src/gentianlink/node/proxy/router.py
@@ -56,6 +56,12 @@
         self._health = health
         self._silence_ms = silence_ms
         self._budgets = {}
+        self._retries = 0
+
+    @property
+    def retries(self):
+        """Number of further attempts after the first ones of calls."""
+        return self._retries
 
     async def route(self, call, route, writer, version):
         """Route a call and relay its answer.
@@ -91,6 +97,7 @@
             tried.add(endpoint.target_id)
             numbered = call
             if attempt > 1:
+                self._retries += 1
                 numbered = attrs.evolve(call, attempt=call.attempt + attempt - 1)
             result = await self._try(numbered, route, endpoint, writer, version)
             refusal = combine_refusals(refusal, result)
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -7,12 +7,12 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from gentianlink.core import headers as names
-from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.answer_writer import AnswerWriter
+from gentianlink.node.proxy.call_counts import CallCounts
 from gentianlink.node.proxy.call_parser import (
     parse_deadline_ms,
     validate_key,
@@ -59,7 +59,7 @@
         self._tasks = set()
         self._arriving = set()
         self._streams = {}
-        self._outcomes = dict.fromkeys(Outcome, 0)
+        self._counts = CallCounts()
         self._stop_accepting = []
         self._is_stopping = False
         self._parameters = HTTP1ConnectionParameters(
@@ -76,7 +76,12 @@
     @property
     def outcomes(self):
         """Numbers of calls by outcome."""
-        return dict(self._outcomes)
+        return self._counts.outcomes
+
+    @property
+    def counts(self):
+        """Numbers of calls by class, outcome and reason."""
+        return self._counts
 
     @property
     def connections(self):
@@ -187,10 +192,9 @@
             reader.connection.stream.is_answer_due = False
 
     async def _finish(self, reader, refusal, writer):
+        self._counts.record_call(reader.work_class, refusal)
         if refusal is None:
-            self._outcomes[Outcome.DONE] += 1
             return
-        self._outcomes[refusal.outcome] += 1
         _LOG.debug(
             "call refused",
             path=reader.path,
@@ -226,6 +230,7 @@
         if route is None:
             return Refusal(Reason.NO_ROUTE)
         entry = route.entry
+        reader.work_class = entry.work_class
         max_bytes = entry.limits.body_max_bytes
         reader.set_body_limits(not entry.work_class.is_repeatable, max_bytes)
         if reader.body_bytes > max_bytes:
