--- a/packages/node/src/gentianlink/node/admin_handlers.py
+++ b/packages/node/src/gentianlink/node/admin_handlers.py
@@ -10,8 +10,7 @@
 
 from gentianlink.core.announcement import Announcement
 from gentianlink.core.codec import decode
-from gentianlink.core.errors import CodecError, GentianlinkError, SettingsInvalid
-from gentianlink.core.target_state import TargetState
+from gentianlink.core.errors import GentianlinkError, SettingsInvalid
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.errors import AdminRequestInvalid
 from gentianlink.node.log import get_logger
@@ -86,7 +85,6 @@
     def post(self):
         """Take in an announcement or a heartbeat."""
         announcement = decode(self.request.body, Announcement)
-        _check_state(announcement)
         self._node.local_targets.announce(announcement, get_monotonic_ms())
         self.write_json(
             {
@@ -96,19 +94,12 @@
         )
 
 
-def _check_state(announcement):
-    try:
-        TargetState(announcement.state)
-    except ValueError as error:
-        raise CodecError(f"not a state of a target: {announcement.state}") from error
-
-
 class TargetHandler(AdminHandler):
     """Takes the leave of a target."""
 
     def delete(self, target_id):
         """Take in that a target has left."""
-        self._node.local_targets.remove(target_id)
+        self._node.local_targets.remove(target_id, get_monotonic_ms())
         self.write_json({})
 
 
--- a/packages/node/src/gentianlink/node/node_status.py
+++ b/packages/node/src/gentianlink/node/node_status.py
@@ -56,6 +56,12 @@
         Further attempts after the first ones of calls.
     targets : dict of str to TargetLoad
         Use of slots and queues beside this node.
+    records : int
+        Live records of nodes and targets.
+    records_digest : str
+        Digest of these records; equal on nodes with the same view.
+    table_builds : int
+        Routing tables built.
     platform_reads : int
         Reads sent to the platform.
     platform_writes : int
@@ -90,6 +96,9 @@
     refusals: dict[str, int]
     retries: int
     targets: dict[str, TargetLoad]
+    records: int
+    records_digest: str
+    table_builds: int
     platform_reads: int
     platform_writes: int
     claims: dict[str, int]
--- a/packages/node/src/gentianlink/node/test_admin.py
+++ b/packages/node/src/gentianlink/node/test_admin.py
@@ -5,12 +5,13 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
-from gentianlink.core.errors import SettingsInvalid
+from gentianlink.core.errors import AnnouncementInvalid, SettingsInvalid
 from gentianlink.core.explanation import Explanation
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.problem import Problem
 from gentianlink.node.admin import make_admin_application
 from gentianlink.node.reload_report import ReloadReport
+from gentianlink.ops.validate_announcement import validate_announcement
 from gentianlink.testing.served_thread import ServedThread
 
 RECORD = NodeRecord("n1", 1, 1, "k", "k-1", "127.0.0.1", 7000, 7001, 7002)
@@ -35,6 +36,9 @@
         self.reload_problems = []
 
     def announce(self, announcement, now_ms):
+        problems = validate_announcement(announcement)
+        if problems:
+            raise AnnouncementInvalid(problems)
         self.announcements.append(announcement)
 
     def is_ready(self):
@@ -93,7 +97,7 @@
     def test_unknown_state(self, node, ask):
         body = orjson.dumps({**ANNOUNCEMENT, "state": "tired"})
         status, answer = ask("POST", "/v1/targets", body)
-        assert (status, answer["type"]) == (400, "CodecError")
+        assert (status, answer["type"]) == (400, "AnnouncementInvalid")
         assert node.announcements == []
 
     def test_large_body(self, ask):
--- a/packages/platform/src/gentianlink/platform/admin_rows.py
+++ b/packages/platform/src/gentianlink/platform/admin_rows.py
@@ -1,6 +1,16 @@
-"""Rows by which operators find the admin ports of nodes."""
+"""Rows by which operators find the admin ports of nodes.
 
-from gentianlink.platform.names import ADMIN_PREFIX, get_admin_key
+As with the rows by which nodes find each other, each data centre has a fixed number
+of them, and a node writes the one that its name hashes to.
+"""
+
+from gentianlink.platform.names import ADMIN_PREFIX
+from gentianlink.platform.node_rows import get_row_number
+
+
+def get_admin_row_key(data_centre, node_id):
+    """Return the key of the row that a node writes."""
+    return f"{ADMIN_PREFIX}{get_row_number(node_id):03d}/{data_centre}"
 
 
 async def write_admin_address(table, data_centre, node_id, address):
@@ -22,7 +32,7 @@
     PlatformError
         If no answer came.
     """
-    await table.transact([(get_admin_key(data_centre, node_id), address)])
+    await table.transact([(get_admin_row_key(data_centre, node_id), address)])
 
 
 async def read_admin_rows(table, after="", limit=64):
--- a/packages/platform/src/gentianlink/platform/names.py
+++ b/packages/platform/src/gentianlink/platform/names.py
@@ -25,13 +25,3 @@
 def get_delta_name(version, digest):
     """Return the name of the object with the delta to a version."""
     return f"catalogue/delta/{version:012d}-{digest}"
-
-
-def get_node_key(data_centre, node_id):
-    """Return the key of the row by which a node can be found."""
-    return f"{NODE_PREFIX}{data_centre}/{node_id}"
-
-
-def get_admin_key(data_centre, node_id):
-    """Return the key of the row with the address of a node's admin port."""
-    return f"{ADMIN_PREFIX}{data_centre}/{node_id}"
