--- a/packages/testing/src/gentianlink/testing/demo.py
+++ b/packages/testing/src/gentianlink/testing/demo.py
@@ -74,7 +74,35 @@
     raise TimeoutError(f"statuses: {statuses}")
 
 
-def apply_catalogue(fleet, path, why):
+def run_operator_command(fleet, *words):
+    """Run the command line against the platform of a deployment.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The deployment.
+    *words : str
+        Command, arguments and options without the addresses of the platform.
+
+    Returns
+    -------
+    str
+        Output of the command.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+        If the exit code is not 0.
+    """
+    binary = pathlib.Path(sys.executable).parent / "gentianlink"
+    command = [str(binary), *words]
+    command += ["--table-url", f"{fleet.platform_url}/table"]
+    command += ["--object-url", f"{fleet.platform_url}/objects"]
+    result = subprocess.run(command, stdout=subprocess.PIPE, text=True, check=True)
+    return result.stdout
+
+
+def apply_catalogue(fleet, path, why, *options):
     """Apply a catalogue file with the command line.
 
     Parameters
@@ -85,18 +113,16 @@
         Catalogue file.
     why : str
         Reason.
+    *options : str
+        Further options.
 
     Returns
     -------
     str
         Output of the command.
     """
-    binary = pathlib.Path(sys.executable).parent / "gentianlink"
-    command = [str(binary), "catalogue", "apply", str(path), "--why", why, "--yes"]
-    command += ["--table-url", f"{fleet.platform_url}/table"]
-    command += ["--object-url", f"{fleet.platform_url}/objects"]
-    result = subprocess.run(command, capture_output=True, text=True, check=True)
-    return result.stdout
+    words = ("catalogue", "apply", str(path), "--why", why, "--yes", *options)
+    return run_operator_command(fleet, *words)
 
 
 async def send_calls(fleet, count):
@@ -153,8 +179,41 @@
     return lambda status: status["version"] >= version
 
 
+def change_deadline(fleet):
+    """Return a catalogue file in which one deadline differs from the example's.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Deployment whose directory takes the file.
+
+    Returns
+    -------
+    pathlib.Path
+        The file.
+    """
+    path = fleet.log_path.parent / "changed.catalogue.ini"
+    text = CATALOGUE.read_text()
+    path.write_text(text.replace("deadline_ms = 800", "deadline_ms = 700"))
+    return path
+
+
+def show(title, text):
+    """Print a step of the demonstration.
+
+    Parameters
+    ----------
+    title : str
+        What was done.
+    text : str
+        What came out.
+    """
+    print(f"\n== {title}")
+    print(text.rstrip(), flush=True)
+
+
 async def run(fleet):
-    """Apply a change, serve calls and print what happened.
+    """Apply changes, serve calls and print what happened.
 
     Parameters
     ----------
@@ -162,18 +221,32 @@
         The running deployment.
     """
     members = fleet.members
+    started_s = time.monotonic()
     await wait_for(members, lambda status: status["ready"])
-    print(f"{len(members)} nodes are ready")
-    asked_ms = time.time_ns() // 1_000_000
-    print(apply_catalogue(fleet, CATALOGUE, "first catalogue"), end="")
-    statuses = await wait_for(members, has_version(1))
-    last_ms = max(status["applied_ms"]["1"] for status in statuses)
-    print(f"in force on every node {last_ms - asked_ms} ms after the command began")
+    waited_s = time.monotonic() - started_s
+    show("start", f"{len(members)} nodes are ready after {waited_s:.1f} s")
+    title = "gentianlink catalogue apply kingston.catalogue.ini --wait"
+    show(title, apply_catalogue(fleet, CATALOGUE, "first catalogue", "--wait"))
     await wait_for(
         members, lambda status: sorted(status["endpoints"].values()) == [3, 3, 5]
     )
-    for (path, outcome), count in sorted((await send_calls(fleet, CALLS)).items()):
-        print(f"{path:24} {outcome:10} {count}")
+    calls = asyncio.create_task(send_calls(fleet, CALLS))
+    title = "gentianlink catalogue apply changed.catalogue.ini --wait, during calls"
+    path = change_deadline(fleet)
+    output = await asyncio.to_thread(
+        apply_catalogue, fleet, path, "shorter deadline", "--wait"
+    )
+    show(title, output)
+    outcomes = await calls
+    lines = [
+        f"{path:24} {outcome:10} {count}"
+        for (path, outcome), count in sorted(outcomes.items())
+    ]
+    show(f"outcomes of {CALLS} calls", "\n".join(lines))
+    words = ("explain", "/inquiry/balance")
+    show("gentianlink explain /inquiry/balance", run_operator_command(fleet, *words))
+    show("gentianlink audit", run_operator_command(fleet, "audit"))
+    show("gentianlink status", run_operator_command(fleet, "status"))
 
 
 def main():
@@ -186,7 +259,7 @@
         raise
     finally:
         fleet.stop()
-        print("all processes stopped")
+    show("stop", "all processes stopped")
 
 
 if __name__ == "__main__":
--- a/packages/tools/src/gentianlink/tools/commands/explain.py
+++ b/packages/tools/src/gentianlink/tools/commands/explain.py
@@ -49,7 +49,7 @@
     for key in ("entry", "owner", "service", "work_class", "route"):
         typer.echo(f"  {key.replace('_', ' ')}: {explanation[key]}")
     limits = explanation["limits"]
-    text = ", ".join(f"{key} {value:g}" for key, value in sorted(limits.items()))
+    text = ", ".join(f"{key} {value:.12g}" for key, value in sorted(limits.items()))
     typer.echo(f"  limits: {text}")
     typer.echo(f"  data centres in order: {', '.join(explanation['prefer'])}")
     if explanation["reason"]:
