--- a/packages/tools/src/gentianlink/tools/commands/test_apply.py
+++ b/packages/tools/src/gentianlink/tools/commands/test_apply.py
@@ -110,6 +110,16 @@
         )
         assert result.stdout.splitlines()[-1].startswith("in force on all 2 nodes, ")
 
+    def test_wait_without_nodes(self, operator, catalogue):
+        words = ("--yes", "--wait", "--timeout", "0.3", "--change-id", "c1")
+        result = operator.apply(catalogue, *words)
+        assert result.exit_code == ExitCode.WAIT_TIMEOUT
+        assert result.stdout.startswith("accepted version 1 at ")
+        assert result.stderr == (
+            "version 1 was accepted, but waiting failed: "
+            "no node answers on its admin port\n"
+        )
+
     def test_no_address(self, operator, catalogue):
         result = operator.apply(catalogue, "--yes", "--table-url", "nonsense")
         assert result.exit_code == ExitCode.INVALID
--- a/packages/tools/src/gentianlink/tools/errors.py
+++ b/packages/tools/src/gentianlink/tools/errors.py
@@ -81,3 +81,19 @@
             f"of {convergence.nodes} nodes"
         )
         self.convergence = convergence
+
+
+class WaitFailed(ToolError):
+    """A change was accepted, and waiting for it failed.
+
+    Parameters
+    ----------
+    version : int
+        Version that was accepted.
+    cause : GentianlinkError
+        Why waiting failed.
+    """
+
+    def __init__(self, version, cause):
+        super().__init__(f"version {version} was accepted, but waiting failed: {cause}")
+        self.cause = cause
--- a/packages/tools/src/gentianlink/tools/exit_code.py
+++ b/packages/tools/src/gentianlink/tools/exit_code.py
@@ -33,7 +33,7 @@
     ExitCode.OUTCOME_UNKNOWN: "The change may have been accepted; repeat it by its id.",
     ExitCode.PLATFORM_UNAVAILABLE: "The platform did not answer; nothing was changed.",
     ExitCode.VERSION_NOT_FOUND: "There is no such version.",
-    ExitCode.WAIT_TIMEOUT: "Some nodes did not enforce the version in time.",
+    ExitCode.WAIT_TIMEOUT: "The version was not seen in force on every node in time.",
     ExitCode.NODE_UNREACHABLE: "No node answered on its admin port.",
     ExitCode.DECLINED: "The operator did not confirm; nothing was changed.",
     ExitCode.CONTENT_DAMAGED: "The platform holds content that is not what it names.",
--- a/packages/tools/src/gentianlink/tools/failure.py
+++ b/packages/tools/src/gentianlink/tools/failure.py
@@ -19,6 +19,7 @@
     NodeUnreachable,
     NoNodeFound,
     VersionNotFound,
+    WaitFailed,
     WaitTimeout,
 )
 from gentianlink.tools.exit_code import ExitCode
@@ -83,6 +84,7 @@
 
 
 _SIMPLE_FAILURES = (
+    (WaitFailed, ExitCode.WAIT_TIMEOUT, ""),
     (VersionNotFound, ExitCode.VERSION_NOT_FOUND, ""),
     (ChangeIdReused, ExitCode.CONFLICT, "the change id is taken: "),
     (ChangeDeclined, ExitCode.DECLINED, ""),
--- a/packages/tools/src/gentianlink/tools/submission.py
+++ b/packages/tools/src/gentianlink/tools/submission.py
@@ -6,9 +6,11 @@
 import attrs
 import typer
 
+from gentianlink.core.errors import PlatformError
 from gentianlink.platform.change_request import ChangeRequest
 from gentianlink.tools.command import confirm
 from gentianlink.tools.commands.diff import print_differences
+from gentianlink.tools.errors import NodeUnreachable, NoNodeFound, WaitFailed
 from gentianlink.tools.output import format_time, print_json, print_lines
 from gentianlink.tools.proposal import propose
 from gentianlink.tools.waiting import print_progress, wait_until_in_force
@@ -88,9 +90,12 @@
     _report(change, options)
     if change is None or not options.is_waiting:
         return
-    convergence = await wait_until_in_force(
-        access.nodes, change.version, options.timeout_s, print_progress
-    )
+    try:
+        convergence = await wait_until_in_force(
+            access.nodes, change.version, options.timeout_s, print_progress
+        )
+    except (NodeUnreachable, NoNodeFound, PlatformError) as error:
+        raise WaitFailed(change.version, error) from error
     waited_ms = int((time.monotonic() - accepted_s) * 1000)
     if not options.as_json:
         typer.echo(
