--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -215,6 +215,10 @@
             + self._platform_objects.transferred_bytes,
         )
 
+    async def compute_convergence(self, version):
+        """Return how far a version is in force over all live nodes."""
+        return await self._convergence.compute(version)
+
     def get_nodes(self):
         """Return the records of all nodes that this node knows."""
         return list(self._membership.nodes.values())
@@ -249,10 +253,6 @@
         is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
         return AVOIDED if is_avoided else ""
 
-    async def compute_convergence(self, version):
-        """Return how far a version is in force over all live nodes."""
-        return await self._convergence.compute(version)
-
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
--- a/packages/platform/src/gentianlink/platform/admin_rows.py
+++ b/packages/platform/src/gentianlink/platform/admin_rows.py
@@ -5,12 +5,7 @@
 """
 
 from gentianlink.platform.names import ADMIN_PREFIX
-from gentianlink.platform.node_rows import get_row_number
-
-
-def get_admin_row_key(data_centre, node_id):
-    """Return the key of the row that a node writes."""
-    return f"{ADMIN_PREFIX}{get_row_number(node_id):03d}/{data_centre}"
+from gentianlink.platform.node_rows import get_row_key
 
 
 async def write_admin_address(table, data_centre, node_id, address):
@@ -32,7 +27,8 @@
     PlatformError
         If no answer came.
     """
-    await table.transact([(get_admin_row_key(data_centre, node_id), address)])
+    key = get_row_key(ADMIN_PREFIX, data_centre, node_id)
+    await table.transact([(key, address)])
 
 
 async def read_admin_rows(table, after="", limit=64):
