Keep one admin port between polls, and count all nodes behind

wait asked the table service for admin addresses and up to eight nodes for their health at each poll of 100 ms; it keeps the node that answered. The message of a timeout counts the nodes behind that are not named. NodeView and FleetConvergence no longer share their names with types of core.

--- a/packages/tools/src/gentianlink/tools/enforcement.py
+++ b/packages/tools/src/gentianlink/tools/enforcement.py
@@ -36,7 +36,7 @@
     ----------
     change : Change
         The audit row.
-    reports : sequence of NodeReport
+    reports : sequence of NodeView
         What every node says of itself.
 
     Returns
--- a/packages/tools/src/gentianlink/tools/errors.py
+++ b/packages/tools/src/gentianlink/tools/errors.py
@@ -71,7 +71,7 @@
 
     Parameters
     ----------
-    convergence : Convergence
+    convergence : FleetConvergence
         What was seen last.
     """
 
--- a/packages/tools/src/gentianlink/tools/failure.py
+++ b/packages/tools/src/gentianlink/tools/failure.py
@@ -99,11 +99,11 @@
 
 
 def _describe_behind(error):
-    names = error.convergence.behind
-    shown = ", ".join(names[:MAX_NAMES_SHOWN])
-    more = len(names) - MAX_NAMES_SHOWN
+    convergence = error.convergence
+    shown = convergence.behind[:MAX_NAMES_SHOWN]
+    more = convergence.nodes - convergence.in_force - len(shown)
     suffix = f" and {more} more" if more > 0 else ""
-    return (f"{error}", f"behind: {shown}{suffix}")
+    return (f"{error}", f"behind: {', '.join(shown)}{suffix}")
 
 
 def _describe_conflict(error):
--- a/packages/tools/src/gentianlink/tools/convergence.py
+++ b/packages/tools/src/gentianlink/tools/fleet_convergence.py
@@ -4,7 +4,7 @@
 
 
 @attrs.frozen
-class Convergence:
+class FleetConvergence:
     """How many nodes enforce a version.
 
     Attributes
@@ -33,14 +33,14 @@
 
     Parameters
     ----------
-    reports : sequence of NodeReport
+    reports : sequence of NodeView
         What every node says.
     version : int
         The version.
 
     Returns
     -------
-    Convergence
+    FleetConvergence
         Counts and the names of those behind.
     """
     behind = tuple(
@@ -48,4 +48,4 @@
     )
     in_force = len(reports) - len(behind)
     is_complete = not behind and bool(reports)
-    return Convergence(version, len(reports), in_force, behind, is_complete)
+    return FleetConvergence(version, len(reports), in_force, behind, is_complete)
--- a/packages/tools/src/gentianlink/tools/node_client.py
+++ b/packages/tools/src/gentianlink/tools/node_client.py
@@ -7,10 +7,10 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from gentianlink.platform.admin_rows import read_admin_rows
-from gentianlink.tools.convergence import Convergence, compute_convergence
 from gentianlink.tools.errors import NodeAnswerInvalid, NodeUnreachable, NoNodeFound
+from gentianlink.tools.fleet_convergence import FleetConvergence, compute_convergence
 from gentianlink.tools.fleet_node import FleetNode
-from gentianlink.tools.node_report import NodeReport
+from gentianlink.tools.node_view import NodeView
 
 MAX_REQUESTS = 32
 MAX_ANSWER_BYTES = 16 << 20
@@ -37,6 +37,7 @@
         self._admin_urls = tuple(admin_urls)
         self._table = table
         self._timeout_ms = timeout_ms
+        self._entry = ""
         self._slots = asyncio.Semaphore(MAX_REQUESTS)
 
     async def find_entry(self):
@@ -54,10 +55,13 @@
         PlatformError
             If the table service is needed and does not answer.
         """
+        if self._entry and await self._try(self._entry):
+            return self._entry
         async for urls in self._iterate_urls():
             tries = [self._try(url) for url in urls]
             for url, is_reached in zip(urls, await asyncio.gather(*tries), strict=True):
                 if is_reached:
+                    self._entry = url
                     return url
         raise NoNodeFound("no node answers on its admin port")
 
@@ -159,7 +163,7 @@
 
         Returns
         -------
-        list of NodeReport
+        list of NodeView
             A report for each node, also for those that don't answer.
 
         Raises
@@ -175,7 +179,7 @@
             answer = await self.get(node.admin_url, "/v1/status")
             return _decode_report(node, answer)
         except (NodeUnreachable, KeyError, TypeError, ValueError, AttributeError):
-            return NodeReport(node)
+            return NodeView(node)
 
     async def read_convergence(self, version):
         """Return how far a version has spread.
@@ -190,7 +194,7 @@
 
         Returns
         -------
-        Convergence
+        FleetConvergence
             Counts and the names of those behind.
 
         Raises
@@ -235,7 +239,7 @@
 
 
 def _decode_report(node, answer):
-    return NodeReport(
+    return NodeView(
         node=node,
         is_reached=True,
         is_ready=bool(answer["ready"]),
@@ -251,7 +255,7 @@
 
 
 def _decode_convergence(answer):
-    return Convergence(
+    return FleetConvergence(
         version=answer["version"],
         nodes=answer["nodes"],
         in_force=answer["in_force"],
--- a/packages/tools/src/gentianlink/tools/node_report.py
+++ b/packages/tools/src/gentianlink/tools/node_view.py
@@ -6,7 +6,7 @@
 
 
 @attrs.frozen
-class NodeReport:
+class NodeView:
     """State of one node as the command line sees it.
 
     Attributes
--- a/packages/tools/src/gentianlink/tools/waiting.py
+++ b/packages/tools/src/gentianlink/tools/waiting.py
@@ -5,8 +5,8 @@
 import typer
 
 from gentianlink.core.errors import PlatformError
-from gentianlink.tools.convergence import Convergence
 from gentianlink.tools.errors import NodeUnreachable, NoNodeFound, WaitTimeout
+from gentianlink.tools.fleet_convergence import FleetConvergence
 
 POLL_S = 0.1
 
@@ -27,7 +27,7 @@
 
     Returns
     -------
-    Convergence
+    FleetConvergence
         The complete convergence.
 
     Raises
@@ -37,7 +37,7 @@
     NoNodeFound
         If no node answered in that time.
     """
-    seen = Convergence(version, 0, 0, (), False)
+    seen = FleetConvergence(version, 0, 0, (), False)
     failure = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -65,7 +65,7 @@
 
     Parameters
     ----------
-    convergence : Convergence
+    convergence : FleetConvergence
         What was seen.
     """
     counts = f"{convergence.in_force} of {convergence.nodes}"
