--- a/packages/node/src/gentianlink/node/admin_handlers.py
+++ b/packages/node/src/gentianlink/node/admin_handlers.py
@@ -1,6 +1,7 @@
 """Handlers of the admin port; every failure is answered by a typed JSON object."""
 
 import http
+import re
 
 import cattrs
 import orjson
@@ -20,7 +21,7 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_READ_BYTES = 1 << 20
 MAX_PATH_CHARACTERS = 4096
-MAX_VERSION = 2**63 - 1
+_VERSION = re.compile(r"[0-9]{1,18}")
 
 
 class AdminHandler(RequestHandler):
@@ -134,7 +135,7 @@
     async def get(self):
         """Answer with the state of the version asked for, else of the own one."""
         text = self.get_query_argument("version", str(self._node.applied.version))
-        if not text.isascii() or not text.isdecimal() or int(text) > MAX_VERSION:
+        if not _VERSION.fullmatch(text):
             raise AdminRequestInvalid(
                 http.HTTPStatus.BAD_REQUEST, "version is not a whole number"
             )
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -128,7 +128,7 @@
         )
         self._load = LoadView()
         self._health = EndpointHealth()
-        router = Router(
+        self._router = Router(
             own_record,
             dispatcher,
             self._pool,
@@ -136,7 +136,9 @@
             self._health,
             settings.calls.silence_timeout_ms,
         )
-        self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
+        self._calls = CallServer(
+            self._router, dispatcher, self.get_table, self.is_serving
+        )
         self._metrics = NodeMetrics()
 
     @classmethod
@@ -181,6 +183,7 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            platform_failure=self._reader.failure,
             latest_version=self._applied.latest.version,
             refused=self._applied.refused,
             control_bytes=self._mesh.control_bytes.totals,
@@ -197,6 +200,10 @@
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
+            calls_by_class=self._calls.counts.by_class,
+            refusals=self._calls.counts.refusals,
+            retries=self._router.retries,
+            targets=self._local_targets.get_loads(),
             records=self._membership.buckets.count,
             records_digest=f"{self._membership.digest:016x}",
             table_builds=self._table_builder.builds,
@@ -235,10 +242,13 @@
             self._membership.own_record,
             self._membership.nodes,
             self._membership.targets.values(),
-            self._load.get_load,
+            self._get_load,
             self._get_avoidance,
         )
 
+    def _get_load(self, endpoint):
+        return self._load.get_load(endpoint, get_monotonic_ms())
+
     def _get_avoidance(self, target_id):
         is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
         return AVOIDED if is_avoided else ""
@@ -294,7 +304,6 @@
             self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
-            self._publish_admin_row(),
             self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
@@ -385,6 +394,7 @@
     async def _publish_own_row(self):
         own = self._membership.own_record
         address = f"{own.address}:{own.mesh_port}"
+        admin_address = f"{own.address}:{own.admin_port}"
         attempt = 0
         period_ms = FIRST_ROW_PERIOD_MS
         while True:
@@ -392,6 +402,9 @@
                 await write_node_address(
                     self._platform_table, own.data_centre, own.node_id, address
                 )
+                await write_admin_address(
+                    self._platform_table, own.data_centre, own.node_id, admin_address
+                )
                 self._topology.add_candidates(await self._find_addresses())
                 wait_ms = random.uniform(0.5, 1.5) * period_ms
                 period_ms = ROW_PERIOD_MS
@@ -401,18 +414,6 @@
                 attempt += 1
             await asyncio.sleep(wait_ms / 1000)
 
-    async def _publish_admin_row(self):
-        own = self._membership.own_record
-        address = f"{own.address}:{own.admin_port}"
-        while True:
-            try:
-                await write_admin_address(
-                    self._platform_table, own.data_centre, own.node_id, address
-                )
-                return
-            except PlatformError:
-                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
-
 
 @contextlib.contextmanager
 def report_listen_failure(key, listen):
--- a/packages/platform/src/gentianlink/platform/admin_rows.py
+++ b/packages/platform/src/gentianlink/platform/admin_rows.py
@@ -1,4 +1,8 @@
-"""Rows by which operators find the admin ports of nodes."""
+"""Rows by which operators find the admin ports of nodes.
+
+As with the rows by which nodes find each other, each data centre has a fixed number
+of them, and a node writes the one that its name hashes to.
+"""
 
 from gentianlink.platform.names import ADMIN_PREFIX
 from gentianlink.platform.node_rows import get_row_key
