--- a/packages/core/src/gentianlink/core/settings.py
+++ b/packages/core/src/gentianlink/core/settings.py
@@ -49,7 +49,7 @@
     links_inside: int = integer(1, 64, default=2)
     links_across: int = integer(0, 64, default=1)
     links_regions: int = integer(0, 64, default=1)
-    push_links: int = integer(0, 64, default=2)
+    push_links: int = integer(0, 64, default=1)
     snapshots_per_s: int = integer(1, 1000, default=4)
     distribution: str = choice("mesh", "platform", default="mesh")
     readers: int = integer(1, 100_000, default=2)
