--- a/packages/node/src/gentianlink/node/mesh/link.py
+++ b/packages/node/src/gentianlink/node/mesh/link.py
@@ -24,12 +24,13 @@
         self.is_dialled = is_dialled
         self.is_joining = False
         self.version = 0
+        self.offered_version = 0
+        self.count_sent = None
         self.heard_ms = 0.0
         self.records_digest = 0
         self._frames = asyncio.Queue(MAX_QUEUED_FRAMES)
         self._end = None
         self._closed = asyncio.Event()
-        self._sent_bytes = 0
 
     @property
     def is_closed(self):
@@ -41,11 +42,6 @@
         """Why the link was given up, None while it is open."""
         return self._end
 
-    @property
-    def sent_bytes(self):
-        """Bytes of the frames queued so far."""
-        return self._sent_bytes
-
     def send(self, frame):
         """Queue a frame; a neighbour that does not keep up loses the link.
 
@@ -58,9 +54,11 @@
             return
         try:
             self._frames.put_nowait(frame)
-            self._sent_bytes += frame.ByteSize()
         except asyncio.QueueFull:
             self.close(LinkEnd.SLOW)
+            return
+        if self.count_sent is not None:
+            self.count_sent(frame.WhichOneof("body"), frame)
 
     def refuse(self, end):
         """Tell the neighbour why the link ends, then give it up.
--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -3,9 +3,11 @@
 import random
 
 from gentianlink.core.errors import CatalogueError, CodecError, LinkRefused
+from gentianlink.core.settings import MeshSettings
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2
+from gentianlink.node.mesh.control_bytes import ControlBytes
 from gentianlink.node.mesh.convert import decode_node, encode_node
 from gentianlink.node.mesh.frame_budget import FrameBudget
 from gentianlink.node.mesh.link_end import LinkEnd
@@ -26,19 +28,21 @@
         Catalogue version in force.
     membership : Membership
         Nodes and targets.
+    settings : MeshSettings, optional
+        How versions spread.
     """
 
-    def __init__(self, applied, membership):
+    def __init__(self, applied, membership, settings=None):
         self._links = {}
-        self._versions = VersionExchange(applied)
+        self._versions = VersionExchange(applied, settings or MeshSettings())
+        self._control_bytes = ControlBytes()
         self._records = RecordExchange(membership, self._links)
         self._on_link_lost = None
-        self._sent_bytes = 0
-        self._received_bytes = 0
         self._handlers = {
             "have": self._handle_have,
             "fetch": self._handle_fetch,
-            "content": self._versions.handle_content,
+            "content": self._handle_content,
+            "busy": self._handle_busy,
             "records": self._records.handle_records,
             "heartbeat": self._handle_heartbeat,
             "record_digests": self._records.handle_digests,
@@ -53,14 +57,19 @@
         return self._links
 
     @property
-    def sent_bytes(self):
-        """Bytes of the frames sent over all links so far."""
-        return self._sent_bytes + sum(link.sent_bytes for link in self._links.values())
+    def own_record(self):
+        """Record of this node."""
+        return self._records.own_record
 
     @property
-    def received_bytes(self):
-        """Bytes of the frames received over all links so far."""
-        return self._received_bytes
+    def control_bytes(self):
+        """Bytes of messages by direction and kind."""
+        return self._control_bytes
+
+    @property
+    def latest_version(self):
+        """Latest version that a neighbour holds, 0 without neighbours."""
+        return max((link.version for link in self._links.values()), default=0)
 
     def add_handler(self, kind, handler):
         """Add what is done with a kind of frame.
@@ -93,7 +102,9 @@
             records=self._records.count,
             is_joining=is_joining,
         )
-        return mesh_pb2.Frame(hello=hello)
+        frame = mesh_pb2.Frame(hello=hello)
+        self._control_bytes.count_sent("hello", frame)
+        return frame
 
     async def run_link(self, hello_frame, frames, link):
         """Handle the frames of one stream until it ends.
@@ -116,10 +127,13 @@
         """
         record = decode_node(hello_frame.hello.node)
         now_ms = get_monotonic_ms()
+        self._control_bytes.count_received("hello", hello_frame)
+        link.count_sent = self._control_bytes.count_sent
         self._admit(record, hello_frame.hello, link, now_ms)
         _LOG.info("link opened", peer=link.peer_id, dialled=link.is_dialled)
         self._records.open_link(record, hello_frame.hello, link, now_ms)
         self._versions.open_link(link)
+        self.ask_for_version()
         budget = FrameBudget(now_ms)
         try:
             async for frame in frames:
@@ -144,7 +158,6 @@
             raise LinkRefused(LinkEnd.FULL)
         self._links[record.node_id] = link
         if known is not None:
-            self._sent_bytes += known.sent_bytes
             known.refuse(LinkEnd.DUPLICATE)
 
     def _replaces(self, link, known):
@@ -162,19 +175,18 @@
         if self._links.get(link.peer_id) is not link:
             return
         del self._links[link.peer_id]
-        self._sent_bytes += link.sent_bytes
         self._records.close_link(link)
         if self._on_link_lost is not None and not link.end.is_orderly:
             self._on_link_lost(link.peer_id)
 
     def _handle(self, frame, link, budget):
         link.heard_ms = get_monotonic_ms()
-        self._received_bytes += frame.ByteSize()
         if not budget.take(link.heard_ms):
             _LOG.warning("too many frames", peer=link.peer_id)
             link.refuse(LinkEnd.FLOOD)
             return
         kind = frame.WhichOneof("body")
+        self._control_bytes.count_received(kind, frame)
         handler = self._handlers.get(kind)
         if handler is None:
             _LOG.debug("frame of unknown kind", peer=link.peer_id, kind=kind)
@@ -187,14 +199,23 @@
                 link.refuse(LinkEnd.MALFORMED)
 
     def _handle_have(self, have, link):
-        self._versions.handle_have(have.version, link)
+        links = list(self._links.values())
+        self._versions.handle_have(have.version, link, links, get_monotonic_ms())
 
     def _handle_fetch(self, fetch, link):
-        self._versions.handle_fetch(fetch.version, link)
+        self._versions.handle_fetch(fetch.version, link, get_monotonic_ms())
+
+    def _handle_content(self, content, link):
+        links = list(self._links.values())
+        self._versions.handle_content(content, link, links, get_monotonic_ms())
+
+    def _handle_busy(self, busy, link):
+        links = list(self._links.values())
+        self._versions.handle_busy(busy, link, links, get_monotonic_ms())
 
     def _handle_heartbeat(self, heartbeat, link):
         link.records_digest = heartbeat.records_digest
-        self._versions.handle_have(heartbeat.version, link)
+        self._handle_have(heartbeat, link)
 
     def _handle_refusal(self, refusal, link):
         try:
@@ -204,6 +225,10 @@
         _LOG.info("link refused by neighbour", peer=link.peer_id, why=end.value)
         link.close(end)
 
+    def ask_for_version(self):
+        """Ask for a later version if a neighbour holds one."""
+        self._versions.ask(list(self._links.values()), get_monotonic_ms())
+
     def spread_version(self):
         """Send the version in force to the neighbours that lack it."""
         self._versions.spread(list(self._links.values()))
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -6,8 +6,11 @@
 
 from gentianlink.core.errors import CodecError, LinkRefused
 from gentianlink.node.background import start_task
+from gentianlink.node.clock import get_now_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2, mesh_pb2_grpc
+from gentianlink.node.mesh.convergence_service import decode_report, encode_answer
+from gentianlink.node.mesh.convert import encode_node
 from gentianlink.node.mesh.link import Link
 from gentianlink.node.mesh.link_end import LinkEnd
 
@@ -25,10 +28,13 @@
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     """
 
-    def __init__(self, mesh):
+    def __init__(self, mesh, collector):
         self._mesh = mesh
+        self._collector = collector
 
     async def Link(self, request_iterator, context):  # noqa: N802
         """Serve one link.
@@ -63,7 +69,32 @@
         context : grpc.aio.ServicerContext
             The call.
         """
-        return mesh_pb2.ProbeAnswer(node=self._mesh.make_hello().hello.node)
+        return mesh_pb2.ProbeAnswer(node=encode_node(self._mesh.own_record))
+
+    async def Report(self, request, context):  # noqa: N802
+        """Take in the report of a node of this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.NodeReport
+            The report.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        self._collector.take(decode_report(request), get_now_ms())
+        return mesh_pb2.ReportAnswer()
+
+    async def GetConvergence(self, request, context):  # noqa: N802
+        """Answer how far a version is in force in this data centre.
+
+        Parameters
+        ----------
+        request : mesh_pb2.ConvergenceRequest
+            The version.
+        context : grpc.aio.ServicerContext
+            The call.
+        """
+        return encode_answer(self._collector.compute(request.version))
 
 
 async def _read_link(mesh, frames, link):
@@ -88,13 +119,15 @@
         link.close()
 
 
-async def start_mesh_server(mesh, address, port):
-    """Start to accept links.
+async def start_mesh_server(mesh, collector, address, port):
+    """Start to accept links, reports and questions.
 
     Parameters
     ----------
     mesh : Mesh
         Links of this node.
+    collector : ReportCollector
+        Reports that this node collects.
     address : str
         IP number to listen on.
     port : int
@@ -106,7 +139,7 @@
         The running server.
     """
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
-    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh), server)
+    mesh_pb2_grpc.add_MeshServicer_to_server(MeshServicer(mesh, collector), server)
     server.add_insecure_port(f"{address}:{port}")
     await server.start()
     return server
--- a/packages/node/src/gentianlink/node/mesh/test_links.py
+++ b/packages/node/src/gentianlink/node/mesh/test_links.py
@@ -58,7 +58,7 @@
     port = probe.sockets[0].getsockname()[1]
     probe.close()
     await probe.wait_closed()
-    return await start_mesh_server(mesh, ADDRESS, port), port
+    return await start_mesh_server(mesh, None, ADDRESS, port), port
 
 
 @contextlib.asynccontextmanager
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -6,14 +6,20 @@
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.claim_counts import ClaimCounts
+from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
+from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.head_reader import HeadReader
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
+from gentianlink.node.mesh.convergence_service import ConvergenceService
 from gentianlink.node.mesh.dialer import compute_backoff_ms
 from gentianlink.node.mesh.failure_detector import FailureDetector
 from gentianlink.node.mesh.mesh import Mesh
@@ -28,6 +34,7 @@
 from gentianlink.node.proxy.local_targets import LocalTargets
 from gentianlink.node.proxy.router import Router
 from gentianlink.node.proxy.server import CallServer
+from gentianlink.node.report_collector import ReportCollector
 from gentianlink.node.table_builder import TableBuilder
 from gentianlink.platform.catalogue_store import CatalogueStore
 from gentianlink.platform.node_rows import read_node_addresses, write_node_address
@@ -37,6 +44,7 @@
 _LOG = get_logger("node")
 
 EXPIRE_PERIOD_S = 0.2
+FETCH_CHECK_S = 0.1
 JOIN_ATTEMPTS_BEFORE_SCAN = 2
 MIN_JOIN_WAIT_MS = 50
 TABLE_BUILD_DELAY_MS = 20
@@ -60,14 +68,14 @@
         self._tasks = []
         own_record = make_own_record(settings, get_now_ms())
         self._platform_table = TableClient.from_settings(settings.platform)
-        objects = ObjectClient.from_settings(settings.platform)
-        store = CatalogueStore(self._platform_table, objects)
-        self._applied = AppliedCatalogue(self._on_applied)
+        self._platform_objects = ObjectClient.from_settings(settings.platform)
+        store = CatalogueStore(self._platform_table, self._platform_objects)
+        self._applied = AppliedCatalogue(self._on_applied, self._on_held)
         self._membership = Membership(
             own_record, self._on_records, settings.mesh.dead_after_ms
         )
         self._table_builder = TableBuilder(self._membership)
-        self._mesh = Mesh(self._applied, self._membership)
+        self._mesh = Mesh(self._applied, self._membership, settings.mesh)
         self._detector = FailureDetector(self._membership, self._mesh)
         self._mesh.set_on_link_lost(self._examine)
         self._topology = Topology(
@@ -76,14 +84,48 @@
         self._monitor = Monitor(
             self._membership, self._mesh, settings.mesh, self._schedule_build
         )
-        self._reader = HeadReader(store, self._applied, self._membership, settings.mesh)
+        self._collector = ReportCollector(self._membership)
+        self._convergence = ConvergenceService(
+            self._membership,
+            self._applied,
+            self._collector,
+            self._mesh.control_bytes,
+        )
+        self._reader = HeadReader(
+            store,
+            self._applied,
+            self._membership,
+            settings.mesh,
+            lambda: self._mesh.latest_version,
+            lambda: bool(self._mesh.links),
+        )
         self._local_targets = LocalTargets(
             self._membership, settings.calls.target_lease_ms
         )
         self._pool = ConnectionPool.from_settings(settings.calls)
-        self._claims = AtMostOnce(self._platform_table, own_record)
-        dispatcher = Dispatcher(self._local_targets, self._pool, self._claims)
-        router = Router(own_record, dispatcher, self._pool, LoadView())
+        self._endpoint_health = EndpointHealth()
+        self._claim_counts = ClaimCounts()
+        self._claims = AtMostOnce.from_settings(
+            settings.claims,
+            own_record,
+            self._platform_table,
+            self._claim_counts,
+            make_is_live(self._membership),
+        )
+        dispatcher = Dispatcher(
+            self._local_targets,
+            self._pool,
+            self._claims,
+            settings.calls.silence_timeout_ms,
+        )
+        router = Router(
+            own_record,
+            dispatcher,
+            self._pool,
+            LoadView(),
+            self._endpoint_health,
+            settings.calls.silence_timeout_ms,
+        )
         self._calls = CallServer(router, dispatcher, self.get_table, self.is_ready)
         self._metrics = NodeMetrics()
 
@@ -108,7 +150,7 @@
 
     def is_ready(self):
         """Return whether this node may serve calls."""
-        return self._reader.has_read and not self._is_stopping
+        return self._applied.is_current and not self._is_stopping
 
     def get_status(self):
         """Return what this node says of itself."""
@@ -120,6 +162,12 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            latest_version=self._applied.latest.version,
+            refused=self._applied.refused,
+            control_bytes=self._mesh.control_bytes.totals,
+            accepted_ms=self._applied.accepted_ms,
+            complete_version=self._collector.complete_version,
+            complete_ms=self._collector.complete_ms,
             links=tuple(sorted(self._mesh.links)),
             nodes=len(self._membership.get_live_nodes()),
             endpoints={
@@ -132,23 +180,36 @@
             },
             records=self._membership.buckets.count,
             records_digest=f"{self._membership.digest:016x}",
-            mesh_sent_bytes=self._mesh.sent_bytes,
-            mesh_received_bytes=self._mesh.received_bytes,
             table_builds=self._table_builder.builds,
-            platform_reads=self._platform_table.reads,
+            platform_reads=self._platform_table.reads + self._platform_objects.reads,
             platform_writes=self._platform_table.writes,
+            claims=self._claim_counts.get_all(),
+            claims_pending=self._claims.pending,
+            platform_bytes=self._platform_table.transferred_bytes
+            + self._platform_objects.transferred_bytes,
         )
 
+    async def compute_convergence(self, version):
+        """Return how far a version is in force over all live nodes."""
+        return await self._convergence.compute(version)
+
     def update_metrics(self):
         """Bring the metrics up to date."""
         self._metrics.update(self.get_status())
 
     def _on_applied(self):
         self._build_table()
-        self._mesh.spread_version()
+        self._convergence.notify()
         _LOG.info("version in force", version=self._applied.version)
 
+    def _on_held(self):
+        self._convergence.notify()
+        self._mesh.spread_version()
+
     def _on_records(self, nodes, targets, source):
+        for record in targets:
+            if record.state is TargetState.READY:
+                self._endpoint_health.forget(record.target_id)
         self._schedule_build()
         self._mesh.spread_records(nodes, targets, source)
 
@@ -175,7 +236,7 @@
         """
         listen = self._settings.listen
         mesh_server = await start_mesh_server(
-            self._mesh, listen.address, listen.mesh_port
+            self._mesh, self._collector, listen.address, listen.mesh_port
         )
         start_admin_server(self, listen.address, listen.admin_port)
         self._calls.listen(listen.address, listen.call_port)
@@ -183,8 +244,11 @@
             self._reader.run(),
             self._run_topology(),
             self._run_monitor(),
+            self._run_version_fetch(),
+            self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
+            self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
         _LOG.info("node started", node=self._settings.node.id)
@@ -198,6 +262,7 @@
         self._is_stopping = True
         self._calls.stop_listening()
         await self._calls.wait_idle()
+        self._calls.close()
         await self._claims.wait_idle()
         for task in self._tasks:
             task.cancel()
@@ -205,6 +270,7 @@
         self._mesh.flush_records()
         self._mesh.close()
         self._topology.close()
+        self._convergence.close()
         self._pool.close()
         await mesh_server.stop(0.1)
         _LOG.info("node stopped")
@@ -234,11 +300,27 @@
             self._monitor.tick(get_monotonic_ms())
             await asyncio.sleep(TICK_MS / 1000)
 
+    async def _run_version_fetch(self):
+        while True:
+            self._mesh.ask_for_version()
+            await asyncio.sleep(FETCH_CHECK_S)
+
     async def _run_expiry(self):
         while True:
-            self._local_targets.expire(get_monotonic_ms())
+            now_ms = get_monotonic_ms()
+            self._local_targets.expire(now_ms)
+            self._pool.sweep(now_ms)
+            self._calls.sweep(now_ms)
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
+    async def _run_cleaner(self):
+        settings = self._settings.claims
+        cleaner = Cleaner.from_settings(
+            settings, self._platform_table, self._claim_counts
+        )
+        is_cleaner = make_is_cleaner(self._membership)
+        await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
+
     async def _publish_own_row(self):
         own = self._membership.own_record
         address = f"{own.address}:{own.mesh_port}"
--- a/packages/node/src/gentianlink/node/proxy/test_local_targets.py
+++ b/packages/node/src/gentianlink/node/proxy/test_local_targets.py
@@ -7,6 +7,7 @@
 from gentianlink.core.errors import AnnouncementInvalid
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.target_state import TargetState
+from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.membership import Membership
 from gentianlink.node.proxy.local_targets import MAX_TARGETS, LocalTargets
 
@@ -83,13 +84,15 @@
             targets, _, published = make_targets()
             announce(targets, slots=1)
             gate = targets.get("t").gate
-            assert await gate.enter(5, 1000) is None
-            waiter = asyncio.create_task(gate.enter(5, 1000))
+            now_ms = get_monotonic_ms()
+            deadline_ms = now_ms + 60_000
+            assert await gate.enter(5, deadline_ms, now_ms) is None
+            waiter = asyncio.create_task(gate.enter(5, deadline_ms, now_ms))
             await asyncio.sleep(0)
             announce(targets, slots=2)
             assert await waiter is None
             announce(targets, slots=1)
-            gate.leave(0.0)
+            gate.leave(0.0, now_ms)
             assert (gate.in_flight, gate.free_slots) == (1, 0)
             return published
 
--- a/packages/testing/src/gentianlink/testing/membership_experiment.py
+++ b/packages/testing/src/gentianlink/testing/membership_experiment.py
@@ -150,7 +150,7 @@
     return [
         (
             read_processor_s(member.node.pid),
-            status["mesh_sent_bytes"] + status["mesh_received_bytes"],
+            sum(status["control_bytes"].values()),
             len(status["links"]),
         )
         for member, status in zip(fleet.members, statuses, strict=True)
