Let news wait longer where many come, and halve the digests of buckets

Cause: at 20 announcements a second almost each one travelled in a frame of its own, and a frame costs more processor time than the records in it.

Change: news wait 30 ms after a quiet time and 200 ms while more come. Bucket digests have 32 bits on the wire, 1,027 in place of 2,051 bytes for all 256.

--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -239,7 +239,7 @@
 
     def flush_records(self):
         """Send the news about nodes and targets that wait."""
-        self._records.flush()
+        self._records.flush(get_monotonic_ms())
 
     def compare_records(self, rng=random):
         """Compare records with one neighbour whose digest differs, if there is one.
--- a/packages/node/src/gentianlink/node/mesh/record_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/record_exchange.py
@@ -1,6 +1,7 @@
 """Spread records of nodes and targets over links.
 
-News travel at once, several in a frame, to every neighbour that may lack them. What
+News travel almost at once, several in a frame where many come in a short time, to
+every neighbour that may lack them. What
 got lost is found by digests: two neighbours compare a digest for each bucket of
 names, then the hashes in the buckets that differ, and send only the records that
 one of them lacks.
@@ -17,6 +18,7 @@
 from gentianlink.ops.membership import BUCKETS
 
 NEWS_DELAY_MS = 30
+NEWS_PERIOD_MS = 200
 NEWS_RECORDS = 100
 FRAME_RECORDS = 200
 COMPARISON_MIN_MS = 1000
@@ -43,6 +45,7 @@
         self._call_later = call_later
         self._news = RecordNews(NEWS_RECORDS)
         self._is_scheduled = False
+        self._flushed_ms = 0.0
         self._compared_ms = {}
         self._join_peer_id = None
         self._join_until_ms = 0.0
@@ -190,18 +193,26 @@
         for record in (*nodes, *targets):
             self._news.add(record, source)
         if self._news.is_full:
-            self.flush()
+            self.flush(now_ms)
         elif not self._is_scheduled and not self._news.is_empty:
             self._is_scheduled = True
+            due_ms = max(now_ms + NEWS_DELAY_MS, self._flushed_ms + NEWS_PERIOD_MS)
             call_later = self._call_later or asyncio.get_running_loop().call_later
-            call_later(NEWS_DELAY_MS / 1000, self._flush_scheduled)
+            call_later((due_ms - now_ms) / 1000, self._flush_scheduled)
 
     def _flush_scheduled(self):
         self._is_scheduled = False
-        self.flush()
+        self.flush(get_monotonic_ms())
 
-    def flush(self):
-        """Send the news that wait."""
+    def flush(self, now_ms):
+        """Send the news that wait.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        self._flushed_ms = now_ms
         frames = {}
         for peer_id, records in self._news.take(list(self._links)).items():
             key = tuple(map(id, records))
--- a/packages/node/src/gentianlink/node/mesh/test_record_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/test_record_exchange.py
@@ -117,6 +117,20 @@
         assert len(member.sent) == 1
         assert len(member.sent[0].records.nodes) == 20
 
+    def test_news_wait_longer_where_many_come(self):
+        member, other = Member("a"), Member("b")
+        connect(member, other)
+        waits_s = []
+        member.exchange = RecordExchange(
+            member.membership, member.links, lambda wait_s, _: waits_s.append(wait_s)
+        )
+        for now_ms in (1000, 1100):
+            member.exchange.spread([make_node("n")], [], None, now_ms)
+            member.exchange._flush_scheduled()
+            member.exchange.flush(now_ms + 30)
+        member.exchange.spread([make_node("n")], [], None, 10_000)
+        assert waits_s == [0.03, 0.13, 0.03]
+
     def test_news_go_only_to_neighbours_that_may_lack_them(self):
         members = [Member(name) for name in "abcd"]
         connect(*members)
--- a/packages/node/src/gentianlink/node/record_buckets.py
+++ b/packages/node/src/gentianlink/node/record_buckets.py
@@ -11,6 +11,8 @@
     compute_target_hash,
 )
 
+BUCKET_DIGEST_MASK = 2**32 - 1
+
 
 class RecordBuckets:
     """Hashes of live records in buckets by name of the node."""
@@ -28,8 +30,8 @@
 
     @property
     def digests(self):
-        """Digest of each bucket, 64 bits each."""
-        return self._digests
+        """Digest of each bucket, 32 bits each."""
+        return [digest & BUCKET_DIGEST_MASK for digest in self._digests]
 
     @property
     def count(self):
--- a/packages/testing/src/gentianlink/testing/membership_experiment.py
+++ b/packages/testing/src/gentianlink/testing/membership_experiment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import os
 import pathlib
 import random
@@ -12,8 +13,11 @@
 
 import attrs
 import typer
+from tornado.httpclient import AsyncHTTPClient
 
+from gentianlink.core.announcement import Announcement
 from gentianlink.core.catalogue import Catalogue
+from gentianlink.core.codec import encode
 from gentianlink.core.entry import Entry
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.service import Service
@@ -194,6 +198,10 @@
     await asyncio.sleep(2)
     costs = await measure_idle(fleet, seconds)
     print(f"{len(costs)} nodes, views agree after {agreed_s:.1f} s")
+    _print_costs(costs)
+
+
+def _print_costs(costs):
     names = ("% of a core", "KB/s sent and received", "MB resident", "links")
     for name, values in zip(names, zip(*costs, strict=True), strict=True):
         print(f"{name:24} p50 {statistics.median(values):6.2f}  max {max(values):6.2f}")
@@ -258,6 +266,54 @@
     print(f"all views agree after {agreed_s:.2f} s")
 
 
+@app.command()
+def churn(
+    nodes: int,
+    events_per_s: float = 20.0,
+    seconds: float = 10.0,
+    data_centres: int = 3,
+    mesh: str = "",
+):
+    """Cost of each node while targets change their state all the time."""
+    fleet = make_fleet(nodes, data_centres, mesh.replace(",", "\n"))
+    try:
+        run_or_show_log(fleet, _run_churn(fleet, events_per_s, seconds))
+    finally:
+        fleet.stop()
+
+
+async def _run_churn(fleet, events_per_s, seconds):
+    await wait_for_view(fleet.members, len(fleet.members), START_TIMEOUT_S)
+    await asyncio.sleep(2)
+    task = asyncio.create_task(_announce_all(fleet, events_per_s))
+    costs = await measure_idle(fleet, seconds)
+    task.cancel()
+    agreed_s = await wait_for_view(fleet.members, len(fleet.members))
+    print(f"{len(costs)} nodes, {events_per_s} announcements a second")
+    print(f"views agree {agreed_s:.2f} s after the last event")
+    _print_costs(costs)
+
+
+async def _announce_all(fleet, events_per_s):
+    states = itertools.cycle(("ready", "draining"))
+    for number in itertools.count():
+        member = fleet.members[number % len(fleet.members)]
+        if number % len(fleet.members) == 0:
+            state = next(states)
+        announcement = Announcement(
+            member.service,
+            f"target-{member.node_id}",
+            member.target_port,
+            10,
+            state,
+            member.address,
+        )
+        url = f"{member.admin_url}/v1/targets"
+        body = encode(announcement)
+        await AsyncHTTPClient().fetch(url, method="POST", body=body)
+        await asyncio.sleep(1 / events_per_s)
+
+
 def make_records(nodes, services, regions=6, data_centres=19):
     """Return records of a large fleet with one target beside each node.
 
