--- a/packages/node/src/gentianlink/node/membership.py
+++ b/packages/node/src/gentianlink/node/membership.py
@@ -18,6 +18,7 @@
 RECENTLY_DEAD_MS = 60_000
 TOMBSTONE_MS = 24 * 3600 * 1000
 REFUTATION_PERIOD_MS = 200
+RIVAL_PERIOD_MAX_MS = 10_000
 REFUTATION_FIRST_MS = float("-inf")
 
 
@@ -55,6 +56,7 @@
         self._sequence = 0
         self._heard_of_self = None
         self._refuted_ms = REFUTATION_FIRST_MS
+        self._rival_period_ms = REFUTATION_PERIOD_MS
         self._has_left = False
         self._view_changes = 0
         self._changed_services = set()
@@ -357,12 +359,20 @@
         heard = self._heard_of_self
         if heard is None or self._has_left:
             return
-        if now_ms < self._refuted_ms + REFUTATION_PERIOD_MS:
+        if now_ms < self._refuted_ms + self._get_refutation_period_ms(heard):
             return
         self._heard_of_self = None
         self._refuted_ms = now_ms
+        if heard.incarnation > self._own_record.incarnation:
+            doubled_ms = 2 * self._rival_period_ms
+            self._rival_period_ms = min(RIVAL_PERIOD_MAX_MS, doubled_ms)
         self._state_self(refute(self._own_record, heard), now_ms)
 
+    def _get_refutation_period_ms(self, heard):
+        if heard.incarnation <= self._own_record.incarnation:
+            return REFUTATION_PERIOD_MS
+        return self._rival_period_ms
+
     def check(self, now_ms):
         """Do what the passing of time asks for.
 
--- a/packages/node/src/gentianlink/node/metrics.py
+++ b/packages/node/src/gentianlink/node/metrics.py
@@ -12,6 +12,9 @@
             "gentianlink_applied_version", "Catalogue version in force."
         )
         self._links = Gauge("gentianlink_links", "Links to neighbours.")
+        self._nodes = Gauge("gentianlink_nodes", "Live nodes known.")
+        self._records = Gauge("gentianlink_records", "Live records held.")
+        self._builds = Gauge("gentianlink_table_builds", "Routing tables built.")
         self._calls = Gauge("gentianlink_calls", "Calls by outcome.")
         self._in_flight = Gauge("gentianlink_calls_in_flight", "Calls being handled.")
         self._platform = Gauge(
@@ -48,6 +51,9 @@
         """
         self._version.set({}, status.version)
         self._links.set({}, len(status.links))
+        self._nodes.set({}, status.nodes)
+        self._records.set({}, status.records)
+        self._builds.set({}, status.table_builds)
         self._in_flight.set({}, status.in_flight)
         for outcome, count in status.outcomes.items():
             self._calls.set({"outcome": outcome}, count)
--- a/packages/node/src/gentianlink/node/proxy/test_local_targets.py
+++ b/packages/node/src/gentianlink/node/proxy/test_local_targets.py
@@ -43,6 +43,7 @@
         ]
         assert targets.get_all() == []
 
+    @pytest.mark.proves("no-new-work", "lease-lapse", "announce")
     def test_heartbeats_keep_the_lease(self):
         targets, _, published = make_targets()
         announce(targets, 0)
@@ -71,6 +72,7 @@
         assert published == [("draining", 10), ("left", 10), ("ready", 10)]
         assert targets.get("t").gate is not gate
 
+    @pytest.mark.proves("no-new-work", "reordered", "announce")
     def test_restart_at_another_port_replaces_the_former_process(self):
         targets, _, published = make_targets()
         announce(targets)
@@ -107,6 +109,7 @@
         records = membership.get_targets_of_node("own")
         assert [record.incarnation for record in records] == [901]
 
+    @pytest.mark.proves("no-new-work", "reordered", "drain")
     def test_drain_of_the_node_is_not_undone_by_heartbeats(self):
         targets, _, published = make_targets()
         announce(targets)
@@ -115,6 +118,7 @@
         assert published == [("ready", 10), ("draining", 10)]
         assert targets.get("t").state is TargetState.DRAINING
 
+    @pytest.mark.proves("no-dangling-route", "bad-input", "announce")
     @pytest.mark.parametrize(
         ("changes", "field"),
         [
--- a/packages/node/src/gentianlink/node/test_membership.py
+++ b/packages/node/src/gentianlink/node/test_membership.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.node_state import NodeState
@@ -8,6 +9,7 @@
     DEAD_AFTER_MS,
     RECENTLY_DEAD_MS,
     REFUTATION_PERIOD_MS,
+    RIVAL_PERIOD_MAX_MS,
     TOMBSTONE_MS,
     Membership,
 )
@@ -78,6 +80,15 @@
         assert membership.own_record == make_node("own", sequence=50)
         assert len(news) == 2
 
+    def test_two_processes_with_one_name_do_not_flood_the_fleet(self):
+        membership, news = make_membership()
+        for now_ms in range(0, 60_000, 100):
+            rival = make_node("own", membership.own_record.incarnation + 1)
+            membership.merge([rival], [], now_ms)
+        assert len(news) <= 12
+        membership.check(60_000 + RIVAL_PERIOD_MAX_MS)
+        assert membership.own_record.incarnation == rival.incarnation + 1
+
     def test_restart_with_a_clock_behind_still_gets_a_higher_incarnation(self):
         membership, _ = make_membership()
         membership.publish_target("inquiry", "t", TargetState.READY, 10, 0)
@@ -85,6 +96,7 @@
         assert membership.own_record == make_node("own", incarnation=901)
         assert membership.targets == {}
 
+    @pytest.mark.proves("no-dangling-route", "reordered", "restart")
     def test_targets_of_a_former_incarnation_vanish(self):
         membership, _ = make_membership(make_node("b"), targets=[make_target("b")])
         membership.merge([make_node("b", incarnation=200)], [], 0)
--- a/packages/node/src/gentianlink/node/test_table_builder.py
+++ b/packages/node/src/gentianlink/node/test_table_builder.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -129,6 +130,9 @@
 
 
 class TestTableBuilder:
+    @pytest.mark.proves("no-dangling-route", "reordered", "spread")
+    @pytest.mark.proves("no-dangling-route", "reordered", "apply")
+    @pytest.mark.proves("no-dangling-route", "reordered", "route")
     @settings(
         derandomize=True,
         max_examples=EXAMPLES,
@@ -148,6 +152,8 @@
             assert_nothing_dangles(view, table)
             assert table == view.build_whole()
 
+    @pytest.mark.proves("no-dangling-route", "none", "apply")
+    @pytest.mark.proves("no-dangling-route", "none", "route")
     def test_endpoint_enters_before_its_route_and_leaves_after_it(self):
         view = View()
         view.take(make_node("a"))
@@ -165,6 +171,7 @@
         view.take(make_target("a"))
         assert get_node_ids(view.take(make_node("a", incarnation=2))) == []
 
+    @pytest.mark.proves("no-new-work", "none", "route")
     def test_draining_and_left_targets_take_no_new_work(self):
         for state in (TargetState.DRAINING, TargetState.LEFT, TargetState.STARTING):
             view = View()
