--- a/packages/node/src/gentianlink/node/mesh/test_record_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/test_record_exchange.py
@@ -3,16 +3,23 @@
 import attrs
 import pytest
 
+from gentianlink.core.catalogue import Catalogue
+from gentianlink.core.entry import Entry
 from gentianlink.core.errors import CodecError
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.node_state import NodeState
+from gentianlink.core.service import Service
 from gentianlink.core.target_record import TargetRecord
 from gentianlink.core.target_state import TargetState
-from gentianlink.node.membership import Membership
+from gentianlink.core.work_class import WorkClass
+from gentianlink.node.membership import DEAD_AFTER_MS, Membership
 from gentianlink.node.mesh import mesh_pb2
 from gentianlink.node.mesh.convert import encode_records
 from gentianlink.node.mesh.record_exchange import JOIN_RECORDS, RecordExchange
+from gentianlink.node.table_builder import TableBuilder
 
+ENTRY = Entry("inquiry", "owner", "inquiry", WorkClass.READ, "/inquiry")
+CATALOGUE = Catalogue(1, (Service("inquiry", "owner", 0.0),), (ENTRY,))
 HANDLERS = {
     "records": "handle_records",
     "record_digests": "handle_digests",
@@ -57,6 +64,37 @@
         return [frame for frame in self.sent if frame.WhichOneof("body") == kind]
 
 
+class Routing(Member):
+    """Member that knows all others and notes the endpoints that it routes to."""
+
+    def __init__(self, name, names):
+        self.builder = None
+        self.history = []
+        others = [item for item in names if item != name]
+        super().__init__(name, map(make_node, others), map(make_target, others))
+        state = TargetState.READY
+        self.builder = TableBuilder(self.membership)
+        self.membership.publish_target("inquiry", "t", state, 10, 0)
+        self.run_delayed()
+
+    def _spread(self, nodes, targets, source):
+        super()._spread(nodes, targets, source)
+        if self.builder is not None:
+            self.history.append(self.get_endpoints())
+
+    def get_endpoints(self):
+        table = self.builder.build(CATALOGUE)
+        return {item.node_id for item in table.routes["/inquiry"].endpoints}
+
+    def lose(self, names):
+        for name in names:
+            self.membership.suspect(name, 0)
+        self.membership.check(DEAD_AFTER_MS)
+        self.run_delayed()
+        self.get_endpoints()
+        self.history.clear()
+
+
 class FakeLink:
     def __init__(self, sender, receiver):
         self.peer_id = receiver.membership.own_record.node_id
@@ -200,6 +238,40 @@
             assert member.membership.nodes["b"] == refuted
         assert first.exchange.digest == second.exchange.digest
 
+    @pytest.mark.proves("no-dangling-route", "partition", "spread")
+    @pytest.mark.proves("no-dangling-route", "partition", "route")
+    def test_both_sides_of_a_partition_converge_and_no_route_flaps(self):
+        sides = [[f"{side}{number}" for number in range(6)] for side in "ab"]
+        members = {
+            name: Routing(name, sides[0] + sides[1]) for name in sides[0] + sides[1]
+        }
+        for side, lost in (sides, sides[::-1]):
+            connect(*(members[name] for name in side))
+            for name in side:
+                members[name].lose(lost)
+                assert members[name].get_endpoints() == set(side)
+        deliver_all(*members.values())
+        for member in members.values():
+            member.sent.clear()
+        first, second = members["a0"], members["b0"]
+        connect(first, second)
+        open_link(first, second)
+        open_link(second, first)
+        deliver_all(*members.values())
+        assert len({member.exchange.digest for member in members.values()}) == 1
+        for name, member in members.items():
+            assert member.get_endpoints() == set(members)
+            own_side = next(side for side in sides if name in side)
+            assert all(routes.issuperset(own_side) for routes in member.history)
+        copies = sum(
+            len(frame.records.nodes) + len(frame.records.targets)
+            for member in members.values()
+            for frame in member.get_sent("records")
+        )
+        links = sum(len(member.links) for member in members.values())
+        statements = 2 * len(members)
+        assert copies <= statements * links
+
     def test_comparisons_that_a_neighbour_may_ask_for_are_limited(self):
         first, second = Member("a", [make_node("n")]), Member("b")
         connect(first, second)
