Keep timers and target records in classes of their own

While taking the timers out: a doubt about a former process counted for the next one, so a restarted node first heard of as a suspect was declared dead at once. A doubt now ends with any later statement of the node itself.

--- a/packages/node/src/gentianlink/node/membership.py
+++ b/packages/node/src/gentianlink/node/membership.py
@@ -5,7 +5,9 @@
 from gentianlink.core.node_state import NodeState
 from gentianlink.core.target_record import TargetRecord
 from gentianlink.core.target_state import TargetState
+from gentianlink.node.node_timers import NodeTimers
 from gentianlink.node.record_buckets import RecordBuckets
+from gentianlink.node.target_records import TargetRecords
 from gentianlink.ops.membership import (
     LIVE_STATES,
     compute_node_order,
@@ -15,8 +17,6 @@
 )
 
 DEAD_AFTER_MS = 4000
-RECENTLY_DEAD_MS = 60_000
-TOMBSTONE_MS = 24 * 3600 * 1000
 REFUTATION_PERIOD_MS = 200
 RIVAL_PERIOD_MAX_MS = 10_000
 REFUTATION_FIRST_MS = float("-inf")
@@ -41,18 +41,11 @@
     def __init__(self, own_record, on_changed, dead_after_ms=DEAD_AFTER_MS):
         self._own_record = own_record
         self._on_changed = on_changed
-        self._dead_after_ms = dead_after_ms
         self._nodes = {own_record.node_id: own_record}
-        self._targets = {}
-        self._targets_by_node = {}
-        self._targets_by_service = {}
+        self._targets = TargetRecords()
         self._buckets = RecordBuckets()
         self._buckets.add_node(own_record)
-        self._doubted_ms = {}
-        self._grace = set()
-        self._recently_dead = {}
-        self._tombstones = {}
-        self._target_tombstones = {}
+        self._timers = NodeTimers(dead_after_ms)
         self._sequence = 0
         self._heard_of_self = None
         self._refuted_ms = REFUTATION_FIRST_MS
@@ -84,17 +77,17 @@
     @property
     def targets(self):
         """Records of targets by node, service and name."""
-        return self._targets
+        return self._targets.records
 
     @property
     def grace(self):
         """Names of dead nodes that still have time to refute."""
-        return self._grace
+        return self._timers.grace
 
     @property
     def recently_dead(self):
         """Names of nodes that died a short time ago, with the times."""
-        return self._recently_dead
+        return self._timers.recently_dead
 
     @property
     def view_changes(self):
@@ -113,16 +106,16 @@
 
     def get_dead_nodes(self):
         """Return the records of nodes that were declared dead."""
-        dead = (self._nodes[node_id] for node_id in self._tombstones)
+        dead = (self._nodes[node_id] for node_id in self._timers.tombstones)
         return [node for node in dead if node.state is NodeState.DEAD]
 
     def get_targets_of_node(self, node_id):
         """Return the records of the targets beside a node."""
-        return list(self._targets_by_node.get(node_id, {}).values())
+        return self._targets.get_of_node(node_id)
 
     def get_targets_of_service(self, service):
         """Return the records of the targets of a service."""
-        return list(self._targets_by_service.get(service, {}).values())
+        return self._targets.get_of_service(service)
 
     def merge(self, nodes, targets, now_ms, source=None):
         """Take in statements and report those that were news.
@@ -190,30 +183,13 @@
             self._buckets.add_node(record)
         if was_live != is_live:
             self._count_targets(node_id, is_live)
-        self._note_state(record, now_ms)
+        self._timers.note_state(known, record, now_ms)
         self._note_services(node_id)
 
     def _note_services(self, node_id):
-        for record in self._targets_by_node.get(node_id, {}).values():
+        for record in self._targets.get_of_node(node_id):
             self._changed_services.add(record.service)
 
-    def _note_state(self, record, now_ms):
-        node_id = record.node_id
-        if record.state is NodeState.ALIVE:
-            self._doubted_ms.pop(node_id, None)
-        else:
-            self._doubted_ms.setdefault(node_id, now_ms)
-        self._tombstones.pop(node_id, None)
-        self._recently_dead.pop(node_id, None)
-        self._grace.discard(node_id)
-        if record.state in LIVE_STATES:
-            return
-        self._tombstones[node_id] = now_ms
-        if record.state is NodeState.DEAD:
-            self._recently_dead[node_id] = now_ms
-            if now_ms < self._doubted_ms[node_id] + self._dead_after_ms:
-                self._grace.add(node_id)
-
     def _count_targets(self, node_id, is_live):
         for record in self.get_targets_of_node(node_id):
             if not is_live:
@@ -226,22 +202,12 @@
             self._forget_target(record)
 
     def _forget_target(self, record):
-        key = (record.node_id, record.service, record.target_id)
         self._changed_services.add(record.service)
         self._buckets.remove_target(record)
-        self._targets.pop(key)
-        self._target_tombstones.pop(key, None)
-        for index, name in (
-            (self._targets_by_node, record.node_id),
-            (self._targets_by_service, record.service),
-        ):
-            index[name].pop(key)
-            if not index[name]:
-                del index[name]
+        self._targets.remove(record)
 
     def _merge_target(self, record, now_ms, later):
-        key = (record.node_id, record.service, record.target_id)
-        known = self._targets.get(key)
+        known = self._targets.get(record)
         if record == known:
             return False
         if known is not None and not is_newer(known, record, compute_target_order):
@@ -255,28 +221,25 @@
             return False
         if record.node_id == self._own_record.node_id:
             return self._deny_own_target(record, now_ms)
-        self._store_target(key, record, now_ms)
+        self._store_target(record, now_ms)
         return True
 
     def _deny_own_target(self, record, now_ms):
-        known = self._targets.get((record.node_id, record.service, record.target_id))
+        known = self._targets.get(record)
         state = TargetState.LEFT if known is None else known.state
         slots = 0 if known is None else known.slots
         self._sequence = max(self._sequence, record.sequence)
         self.publish_target(record.service, record.target_id, state, slots, now_ms)
         return False
 
-    def _store_target(self, key, record, now_ms):
-        known = self._targets.get(key)
+    def _store_target(self, record, now_ms):
+        known = self._targets.get(record)
         if known is not None:
-            self._forget_target(known)
-        self._targets[key] = record
+            self._buckets.remove_target(known)
+        self._targets.put(record, now_ms)
         self._changed_services.add(record.service)
-        self._targets_by_node.setdefault(record.node_id, {})[key] = record
-        self._targets_by_service.setdefault(record.service, {})[key] = record
-        if record.state is TargetState.LEFT:
-            self._target_tombstones[key] = now_ms
-        elif self._nodes[record.node_id].state in LIVE_STATES:
+        is_live = self._nodes[record.node_id].state in LIVE_STATES
+        if is_live and record.state is not TargetState.LEFT:
             self._buckets.add_target(record)
 
     def publish_target(self, service, target_id, state, slots, now_ms):
@@ -306,8 +269,7 @@
             state,
             slots,
         )
-        key = (own.node_id, service, target_id)
-        self._store_target(key, record, now_ms)
+        self._store_target(record, now_ms)
         self._on_changed([], [record], None)
 
     def suspect(self, node_id, now_ms):
@@ -395,38 +357,24 @@
     def _declare_dead(self, now_ms):
         dead = [
             attrs.evolve(self._nodes[node_id], state=NodeState.DEAD)
-            for node_id, since_ms in self._doubted_ms.items()
-            if now_ms >= since_ms + self._dead_after_ms
-            and self._nodes[node_id].state is NodeState.SUSPECT
+            for node_id in self._timers.get_unrefuted(now_ms)
         ]
         if dead:
             self.merge(dead, [], now_ms)
 
     def _end_grace(self, now_ms):
-        ended = [
-            node_id
-            for node_id in self._grace
-            if now_ms >= self._doubted_ms[node_id] + self._dead_after_ms
-        ]
-        self._grace.difference_update(ended)
-        for node_id, since_ms in list(self._recently_dead.items()):
-            if now_ms >= since_ms + RECENTLY_DEAD_MS:
-                del self._recently_dead[node_id]
-                ended.append(node_id)
-        for node_id in ended:
+        for node_id in self._timers.end_grace(now_ms):
             self._note_services(node_id)
 
     def _forget_tombstones(self, now_ms):
-        for node_id, since_ms in list(self._tombstones.items()):
-            if now_ms < since_ms + TOMBSTONE_MS or node_id == self._own_record.node_id:
+        for node_id in self._timers.get_old_tombstones(now_ms):
+            if node_id == self._own_record.node_id:
                 continue
             self._drop_targets(node_id)
-            del self._tombstones[node_id]
-            self._doubted_ms.pop(node_id, None)
+            self._timers.forget(node_id)
             del self._nodes[node_id]
-        for key, since_ms in list(self._target_tombstones.items()):
-            if now_ms >= since_ms + TOMBSTONE_MS:
-                self._forget_target(self._targets[key])
+        for record in self._targets.get_old_tombstones(now_ms):
+            self._forget_target(record)
 
     def shift_timers(self, gap_ms):
         """Give suspects and the newly dead more time after this node was paused.
@@ -436,6 +384,4 @@
         gap_ms : float
             Length of the pause in milliseconds.
         """
-        for times in (self._doubted_ms, self._recently_dead):
-            for node_id in times:
-                times[node_id] += gap_ms
+        self._timers.shift(gap_ms)
--- a/packages/node/src/gentianlink/node/test_membership.py
+++ b/packages/node/src/gentianlink/node/test_membership.py
@@ -7,12 +7,11 @@
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.membership import (
     DEAD_AFTER_MS,
-    RECENTLY_DEAD_MS,
     REFUTATION_PERIOD_MS,
     RIVAL_PERIOD_MAX_MS,
-    TOMBSTONE_MS,
     Membership,
 )
+from gentianlink.node.node_timers import RECENTLY_DEAD_MS, TOMBSTONE_MS
 
 
 def make_node(node_id, incarnation=100, sequence=1, state=NodeState.ALIVE):
@@ -63,6 +62,14 @@
         membership.check(DEAD_AFTER_MS + 3499)
         assert membership.nodes["b"].state is NodeState.SUSPECT
 
+    def test_doubt_about_a_former_process_does_not_count(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.merge([DEAD], [], 0)
+        restarted = make_node("b", incarnation=200, state=NodeState.SUSPECT)
+        membership.merge([restarted], [], 3_600_000)
+        membership.check(3_600_000 + DEAD_AFTER_MS - 1)
+        assert membership.nodes["b"] == restarted
+
     def test_node_that_hears_it_is_suspect_or_dead_refutes(self):
         for state in (NodeState.SUSPECT, NodeState.DEAD):
             membership, news = make_membership()
--- a/packages/node/src/gentianlink/node/test_table_builder.py
+++ b/packages/node/src/gentianlink/node/test_table_builder.py
@@ -13,10 +13,9 @@
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.membership import (
     DEAD_AFTER_MS,
-    RECENTLY_DEAD_MS,
-    TOMBSTONE_MS,
     Membership,
 )
+from gentianlink.node.node_timers import RECENTLY_DEAD_MS, TOMBSTONE_MS
 from gentianlink.node.table_builder import TableBuilder
 from gentianlink.ops.build_table import build_table
 
