--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -10,6 +10,7 @@
 from gentianlink.node.log import get_logger
 from gentianlink.node.mesh import mesh_pb2, mesh_pb2_grpc
 from gentianlink.node.mesh.convergence_service import decode_report, encode_answer
+from gentianlink.node.mesh.convert import encode_node
 from gentianlink.node.mesh.link import Link
 from gentianlink.node.mesh.link_end import LinkEnd
 
@@ -68,7 +69,7 @@
         context : grpc.aio.ServicerContext
             The call.
         """
-        return mesh_pb2.ProbeAnswer(node=self._mesh.make_hello().hello.node)
+        return mesh_pb2.ProbeAnswer(node=encode_node(self._mesh.own_record))
 
     async def Report(self, request, context):  # noqa: N802
         """Take in the report of a node of this data centre.
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -7,6 +7,7 @@
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
@@ -92,7 +93,7 @@
             self._mesh, self._membership, settings.mesh, self._examine
         )
         self._monitor = Monitor(
-            self._membership, self._mesh, settings.mesh, self._on_judged
+            self._membership, self._mesh, settings.mesh, self._schedule_build
         )
         self._live_view = LiveView(self._membership)
         self._collector = ReportCollector(self._live_view)
@@ -270,14 +271,13 @@
         self._mesh.spread_version()
 
     def _on_records(self, nodes, targets, source):
-        self._mark_changed(nodes, targets)
+        for record in targets:
+            if record.state is TargetState.READY:
+                self._health.forget(record.target_id)
+        self._schedule_build()
         self._mesh.spread_records(nodes, targets, source)
 
-    def _on_judged(self, nodes):
-        self._mark_changed(nodes, [])
-
-    def _mark_changed(self, nodes, targets):
-        self._table_builder.mark_changed(nodes, targets)
+    def _schedule_build(self):
         if not self._is_build_due:
             self._is_build_due = True
             loop = asyncio.get_running_loop()
