--- a/packages/node/src/gentianlink/node/mesh/dialer.py
+++ b/packages/node/src/gentianlink/node/mesh/dialer.py
@@ -121,7 +121,8 @@
         try:
             stream = stub.Link(_send_frames(mesh, plan, link))
             frames = stream.__aiter__()
-            hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                hello = await anext(frames)
             opened = True
             await _run_until_closed(mesh, hello, frames, link)
         except LinkRefused as error:
--- a/packages/node/src/gentianlink/node/proxy/local_target.py
+++ b/packages/node/src/gentianlink/node/proxy/local_target.py
@@ -22,12 +22,12 @@
         TCP port of the target.
     state : TargetState
         State that the target announced last.
-    slots : int
-        Calls that it executes at once.
     gate : Gate
         Its slots and queue.
     expires_ms : float
         End of its lease on the monotonic clock in milliseconds.
+    slots : int
+        Calls that it executes at once.
     """
 
     service: str
@@ -35,6 +35,6 @@
     address: str
     port: int
     state: TargetState
-    slots: int
     gate: Gate
     expires_ms: float
+    slots: int = 1
--- a/packages/testing/src/gentianlink/testing/claim_world.py
+++ b/packages/testing/src/gentianlink/testing/claims/world.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 
-import attrs
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from gentianlink.core.errors import (
@@ -16,14 +15,19 @@
 from gentianlink.core.reason import Reason
 from gentianlink.core.settings import ClaimSettings
 from gentianlink.node.claims.at_most_once import AtMostOnce
+from gentianlink.node.claims.bounded_claims import wait_until_done
 from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.claim_table import ClaimTable
 from gentianlink.node.claims.direct_writer import DirectWriter
 from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.refusal import Refusal
-from gentianlink.platform.row import Row
+from gentianlink.testing.claims.event import Event
+from gentianlink.testing.claims.fake_table import FakeTable
+from gentianlink.testing.claims.fake_writer import FakeWriter
+from gentianlink.testing.claims.submission import Submission
 from gentianlink.testing.table_state import TableState
 
 DEADLINE_MS = 3_600_000
@@ -31,88 +35,6 @@
 ANSWER_MAX_BYTES = 1024
 
 
-@attrs.define(eq=False)
-class Event:
-    """Something that waits until the schedule lets it happen."""
-
-    node_id: str
-    kind: str
-    perform: object
-    future: asyncio.Future
-
-
-@attrs.define(eq=False)
-class Submission:
-    """One call as its caller sees it."""
-
-    number: int
-    node_id: str
-    key: str
-    body: bytes
-    deadline_ms: float
-    status: int = 0
-    headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
-    answer: bytes = b""
-    outcome: Outcome | None = None
-    reason: Reason | None = None
-    executions_when_told: int = 0
-
-    @property
-    def is_replay(self):
-        """Whether the answer is a recorded one."""
-        return self.headers.get("X-Gentianlink-Replay") == "true"
-
-
-class FakeWriter:
-    """The caller's side of an exchange."""
-
-    def __init__(self, submission):
-        self._submission = submission
-        self.is_started = False
-
-    async def start(self, status, headers, chunk=b""):
-        """Take the start of an answer."""
-        self.is_started = True
-        self._submission.status = status
-        self._submission.headers = headers
-        self._submission.answer = chunk
-
-    async def write(self, chunk):
-        """Take a part of an answer."""
-        self._submission.answer += chunk
-
-    def finish(self):
-        """Take the end of an answer."""
-
-
-class FakeTable:
-    """The table service as one node sees it."""
-
-    def __init__(self, world, node_id):
-        self._world = world
-        self._node_id = node_id
-
-    async def read(self, key):
-        """Read a row."""
-
-        def perform():
-            return Row(key, *self._world.table.read(key))
-
-        return await self._world.wait(self._node_id, "read", perform)
-
-    async def transact(self, puts, checks=()):
-        """Write rows if the checked ones are still at their revisions."""
-
-        def perform():
-            pairs = [(row.key, row.revision) for row in checks]
-            conflict, revision = self._world.table.transact(pairs, puts)
-            if conflict is not None:
-                raise WriteConflict(*conflict)
-            return revision
-
-        return await self._world.wait(self._node_id, "write", perform)
-
-
 class ClaimWorld:
     """Nodes that share one table and one target.
 
@@ -137,6 +59,7 @@
         self._claim_table_class = claim_table_class
         self._events = []
         self._delayed = []
+        self._deadlines = []
         self._claims = {}
         self._activity = 0
         self._tasks = []
@@ -169,7 +92,7 @@
         self._activity += 1
         return await future
 
-    def submit(self, node_id, key="k", body=b"b", deadline_ms=DEADLINE_MS):
+    def submit(self, node_id, key="k", body=b"b", deadline_ms=DEADLINE_MS, stream=None):
         """Send a call to a node.
 
         Parameters
@@ -182,13 +105,17 @@
             Body of the call.
         deadline_ms : float, optional
             Time that the caller allows in milliseconds.
+        stream : RequestBody, optional
+            Body that was not read whole.
 
         Returns
         -------
         Submission
             What the caller is told, later.
         """
-        submission = Submission(len(self.submissions), node_id, key, body, deadline_ms)
+        submission = Submission(
+            len(self.submissions), node_id, key, body, deadline_ms, stream
+        )
         self.submissions.append(submission)
         work = self._execute(submission)
         self._tasks.append(asyncio.get_running_loop().create_task(work))
@@ -206,16 +133,30 @@
             await self.wait(node_id, "sleep", lambda: None)
 
         counts = ClaimCounts()
+        breaker = StoreBreaker()
         return AtMostOnce(
             NodeRecord(node_id, 1, 1, "r", "d", "127.0.0.1", 1, 2, 3),
             self._claim_table_class(table, self._make_writer(table, sleep)),
-            Settler(100, counts, sleep),
+            Settler(100, counts, breaker.note_success, sleep),
             counts,
             lambda claim: claim.node_id not in self.dead,
             ClaimSettings(answer_max_bytes=ANSWER_MAX_BYTES),
+            breaker,
             lambda: self.now_ms,
+            functools.partial(self._wait_until_done, node_id),
         )
 
+    async def _wait_until_done(self, node_id, task, timeout_ms):
+        if timeout_ms < DEADLINE_MS / 2:
+            return await wait_until_done(task, timeout_ms)
+        passed = asyncio.get_running_loop().create_future()
+        deadline = Event(node_id, "deadline", None, passed)
+        self._deadlines.append(deadline)
+        await asyncio.wait({task, passed}, return_when=asyncio.FIRST_COMPLETED)
+        self._deadlines.remove(deadline)
+        self._activity += 1
+        return task.done()
+
     async def _execute(self, submission):
         claims = self._get_claims(submission.node_id)
         call = Call(
@@ -225,6 +166,7 @@
             submission.body,
             get_monotonic_ms() + submission.deadline_ms,
             submission.key,
+            stream=submission.stream,
         )
         relay = claims.make_relay(FakeWriter(submission), 1)
         run = functools.partial(self._run, submission, relay)
@@ -295,6 +237,9 @@
         if self._faults:
             for event in ready:
                 options.extend(self._get_faults(event))
+            for deadline in self._deadlines:
+                if deadline.node_id not in self.dead and not deadline.future.done():
+                    options.append(functools.partial(self._pass_deadline, deadline))
         return options
 
     def _get_faults(self, event):
@@ -306,6 +251,10 @@
         yield functools.partial(self._refuse, event)
         yield functools.partial(self._delay, event)
 
+    def _pass_deadline(self, deadline):
+        self._faults -= 1
+        deadline.future.set_result(None)
+
     def _let_happen(self, event):
         self._events.remove(event)
         try:
