--- a/packages/node/src/gentianlink/node/claims/at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/at_most_once.py
@@ -10,16 +10,18 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
+from gentianlink.node.claims.bounded_claims import BoundedClaims, wait_until_done
 from gentianlink.node.claims.claim import Claim, compute_call_digest
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.claim_table import ClaimTable
-from gentianlink.node.claims.errors import ClaimNotMade, ClaimUnresolved
+from gentianlink.node.claims.errors import ClaimError, ClaimNotMade
 from gentianlink.node.claims.found_claim import FoundClaim
 from gentianlink.node.claims.recorded_answer import make_recorded_answer
 from gentianlink.node.claims.recording_relay import RecordingRelay
 from gentianlink.node.claims.repeat import compute_repeat_refusal
-from gentianlink.node.claims.retention import get_claim_key, is_expired
+from gentianlink.node.claims.retention import is_expired
 from gentianlink.node.claims.settler import Settler
+from gentianlink.node.claims.store_breaker import StoreBreaker
 from gentianlink.node.claims.writers import make_writer
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.proxy.refusal import Refusal
@@ -46,8 +48,12 @@
         Takes a Claim and returns whether its holder may still be running.
     settings : ClaimSettings
         Bounds on answers and retention.
+    breaker : StoreBreaker
+        Refuses while the table service does not answer.
     get_now_ms : callable, optional
         Returns the present time in milliseconds since the epoch.
+    wait_until_done : callable, optional
+        Coroutine function that waits for a task, within a bound.
     """
 
     def __init__(
@@ -58,7 +64,9 @@
         counts,
         is_live,
         settings,
+        breaker,
         get_now_ms=get_now_ms,
+        wait_until_done=wait_until_done,
     ):
         self._own_record = own_record
         self._table = table
@@ -66,14 +74,17 @@
         self._counts = counts
         self._is_live = is_live
         self._settings = settings
+        self._breaker = breaker
         self._get_now_ms = get_now_ms
+        self._bounded = BoundedClaims(table, settler, wait_until_done)
         self._running = set()
 
     @classmethod
     def from_settings(cls, settings, own_record, table, counts, is_live):
         """Return the claims of a node for the ``claims`` section of the settings."""
         claim_table = ClaimTable(table, make_writer(settings, table))
-        settler = Settler(settings.max_pending, counts)
+        breaker = StoreBreaker()
+        settler = Settler(settings.max_pending, counts, breaker.note_success)
         return cls(
             own_record,
             claim_table,
@@ -81,6 +92,7 @@
             counts,
             is_live,
             settings,
+            breaker,
         )
 
     @property
@@ -116,7 +128,7 @@
             await asyncio.wait(set(self._running))
         await self._settler.wait_idle(STOP_TIMEOUT_MS)
 
-    def make_relay(self, writer, version):
+    def make_relay(self, writer, version, is_head=False, get_free_slots=None):
         """Return the relay of one at-most-once call.
 
         Parameters
@@ -125,13 +137,20 @@
             The caller's side.
         version : int
             Catalogue version in force.
+        is_head : bool, optional
+            Whether the call has the method HEAD, so that no body follows.
+        get_free_slots : callable, optional
+            Returns the free slots to report with the answer.
 
         Returns
         -------
         RecordingRelay
             Relay that keeps what is to be recorded.
         """
-        return RecordingRelay(writer, version, self._settings.answer_max_bytes)
+        max_bytes = self._settings.answer_max_bytes
+        return RecordingRelay(
+            writer, version, max_bytes, is_head=is_head, get_free_slots=get_free_slots
+        )
 
     async def execute(self, call, relay, run):
         """Claim the key of a call, run the call once, and record its result.
@@ -154,20 +173,19 @@
         """
         if call.get_remaining_ms(get_monotonic_ms()) <= 0:
             return Refusal(Reason.DEADLINE_PASSED)
+        if call.stream is not None:
+            # The class of the entry changed while the body arrived: no digest of it.
+            return Refusal(Reason.NOT_READY, retry_after_ms=RETRY_AFTER_MS)
         if self._is_expired(call):
             return self._refuse_expired()
-        if self._settler.is_full:
+        if self._settler.is_full or not self._breaker.may_try(get_monotonic_ms()):
             return self._refuse_for_store(Outcome.NOT_RUN)
         claim = self._make_claim(call, self._get_now_ms())
         try:
-            result = await self._acquire(call, claim)
-        except ClaimNotMade:
-            return self._refuse_for_store(Outcome.NOT_RUN)
-        except ClaimUnresolved as unresolved:
-            self._settler.start(functools.partial(self._table.abandon, unresolved))
-            return self._refuse_for_store(Outcome.UNKNOWN)
-        except TimeoutError:
-            return self._refuse_for_store(Outcome.UNKNOWN)
+            result = await self._bounded.acquire(call, claim)
+        except ClaimError as error:
+            return self._refuse_unclaimed(error)
+        self._breaker.note_success()
         if isinstance(result, FoundClaim):
             return await self._answer_repeat(result.claim, claim, relay)
         self._counts.add("claimed")
@@ -176,6 +194,12 @@
             return await self._release(result, self._refuse_expired())
         return await self._run_held(result, relay, run)
 
+    def _refuse_unclaimed(self, error):
+        self._breaker.note_failure(get_monotonic_ms())
+        if isinstance(error, ClaimNotMade):
+            return self._refuse_for_store(Outcome.NOT_RUN)
+        return self._refuse_for_store(Outcome.UNKNOWN)
+
     def _make_claim(self, call, now_ms):
         return Claim(
             digest=compute_call_digest(call),
@@ -197,27 +221,6 @@
         self._counts.add(f"store-unavailable-{outcome.value}")
         return Refusal(Reason.STORE_UNAVAILABLE, outcome, RETRY_AFTER_MS)
 
-    async def _acquire(self, call, claim):
-        work = self._table.acquire(get_claim_key(call.key), claim)
-        task = asyncio.get_running_loop().create_task(work)
-        remaining_ms = max(0.0, call.get_remaining_ms(get_monotonic_ms()))
-        done, _ = await asyncio.wait({task}, timeout=remaining_ms / 1000)
-        if done:
-            return task.result()
-        self._settler.start(functools.partial(self._give_up, task))
-        raise TimeoutError
-
-    async def _give_up(self, acquiring):
-        try:
-            result = await asyncio.shield(acquiring)
-        except ClaimNotMade:
-            return
-        except ClaimUnresolved as unresolved:
-            await self._table.abandon(unresolved)
-            return
-        if not isinstance(result, FoundClaim):
-            await self._table.write_result(result, ClaimState.RELEASED)
-
     async def _answer_repeat(self, found, claim, relay):
         is_live = self._is_live(found)
         refusal = compute_repeat_refusal(found, claim, is_live, claim.claimed_ms)
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -7,6 +7,7 @@
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
@@ -18,6 +19,7 @@
 from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
+from gentianlink.node.live_view import LiveView
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
 from gentianlink.node.mesh.convergence_service import ConvergenceService
@@ -91,11 +93,13 @@
             self._mesh, self._membership, settings.mesh, self._examine
         )
         self._monitor = Monitor(
-            self._membership, self._mesh, settings.mesh, self._on_judged
+            self._membership, self._mesh, settings.mesh, self._schedule_build
         )
-        self._collector = ReportCollector(self._membership)
+        self._live_view = LiveView(self._membership)
+        self._collector = ReportCollector(self._live_view)
         self._convergence = ConvergenceService(
-            self._membership,
+            self._live_view,
+            own_record,
             self._applied,
             self._collector,
             self._mesh.control_bytes,
@@ -128,7 +132,7 @@
         )
         self._load = LoadView()
         self._health = EndpointHealth()
-        router = Router(
+        self._router = Router(
             own_record,
             dispatcher,
             self._pool,
@@ -136,7 +140,9 @@
             self._health,
             settings.calls.silence_timeout_ms,
         )
-        self._calls = CallServer(router, dispatcher, self.get_table, self.is_serving)
+        self._calls = CallServer(
+            self._router, dispatcher, self.get_table, self.is_serving
+        )
         self._metrics = NodeMetrics()
 
     @classmethod
@@ -181,6 +187,7 @@
             version=self._applied.version,
             digest=self._applied.digest,
             applied_ms=self._applied.applied_ms,
+            platform_failure=self._reader.failure,
             latest_version=self._applied.latest.version,
             refused=self._applied.refused,
             control_bytes=self._mesh.control_bytes.totals,
@@ -197,6 +204,10 @@
             outcomes={
                 outcome.value: count for outcome, count in self._calls.outcomes.items()
             },
+            calls_by_class=self._calls.counts.by_class,
+            refusals=self._calls.counts.refusals,
+            retries=self._router.retries,
+            targets=self._local_targets.get_loads(),
             records=self._membership.buckets.count,
             records_digest=f"{self._membership.digest:016x}",
             table_builds=self._table_builder.builds,
@@ -235,10 +246,13 @@
             self._membership.own_record,
             self._membership.nodes,
             self._membership.targets.values(),
-            self._load.get_load,
+            self._get_load,
             self._get_avoidance,
         )
 
+    def _get_load(self, endpoint):
+        return self._load.get_load(endpoint, get_monotonic_ms())
+
     def _get_avoidance(self, target_id):
         is_avoided = self._health.is_avoided(target_id, get_monotonic_ms())
         return AVOIDED if is_avoided else ""
@@ -257,14 +271,13 @@
         self._mesh.spread_version()
 
     def _on_records(self, nodes, targets, source):
-        self._mark_changed(nodes, targets)
+        for record in targets:
+            if record.state is TargetState.READY:
+                self._health.forget(record.target_id)
+        self._schedule_build()
         self._mesh.spread_records(nodes, targets, source)
 
-    def _on_judged(self, nodes):
-        self._mark_changed(nodes, [])
-
-    def _mark_changed(self, nodes, targets):
-        self._table_builder.mark_changed(nodes, targets)
+    def _schedule_build(self):
         if not self._is_build_due:
             self._is_build_due = True
             loop = asyncio.get_running_loop()
@@ -294,7 +307,6 @@
             self._convergence.run(),
             self._run_expiry(),
             self._publish_own_row(),
-            self._publish_admin_row(),
             self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
@@ -385,6 +397,7 @@
     async def _publish_own_row(self):
         own = self._membership.own_record
         address = f"{own.address}:{own.mesh_port}"
+        admin_address = f"{own.address}:{own.admin_port}"
         attempt = 0
         period_ms = FIRST_ROW_PERIOD_MS
         while True:
@@ -392,6 +405,9 @@
                 await write_node_address(
                     self._platform_table, own.data_centre, own.node_id, address
                 )
+                await write_admin_address(
+                    self._platform_table, own.data_centre, own.node_id, admin_address
+                )
                 self._topology.add_candidates(await self._find_addresses())
                 wait_ms = random.uniform(0.5, 1.5) * period_ms
                 period_ms = ROW_PERIOD_MS
@@ -401,18 +417,6 @@
                 attempt += 1
             await asyncio.sleep(wait_ms / 1000)
 
-    async def _publish_admin_row(self):
-        own = self._membership.own_record
-        address = f"{own.address}:{own.admin_port}"
-        while True:
-            try:
-                await write_admin_address(
-                    self._platform_table, own.data_centre, own.node_id, address
-                )
-                return
-            except PlatformError:
-                await asyncio.sleep(self._settings.mesh.heartbeat_ms / 1000)
-
 
 @contextlib.contextmanager
 def report_listen_failure(key, listen):
--- a/packages/node/src/gentianlink/node/test_membership.py
+++ b/packages/node/src/gentianlink/node/test_membership.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.node_state import NodeState
@@ -6,11 +7,11 @@
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.membership import (
     DEAD_AFTER_MS,
-    RECENTLY_DEAD_MS,
     REFUTATION_PERIOD_MS,
-    TOMBSTONE_MS,
+    RIVAL_PERIOD_MAX_MS,
     Membership,
 )
+from gentianlink.node.node_timers import RECENTLY_DEAD_MS, TOMBSTONE_MS
 
 
 def make_node(node_id, incarnation=100, sequence=1, state=NodeState.ALIVE):
@@ -61,6 +62,14 @@
         membership.check(DEAD_AFTER_MS + 3499)
         assert membership.nodes["b"].state is NodeState.SUSPECT
 
+    def test_doubt_about_a_former_process_does_not_count(self):
+        membership, _ = make_membership(make_node("b"))
+        membership.merge([DEAD], [], 0)
+        restarted = make_node("b", incarnation=200, state=NodeState.SUSPECT)
+        membership.merge([restarted], [], 3_600_000)
+        membership.check(3_600_000 + DEAD_AFTER_MS - 1)
+        assert membership.nodes["b"] == restarted
+
     def test_node_that_hears_it_is_suspect_or_dead_refutes(self):
         for state in (NodeState.SUSPECT, NodeState.DEAD):
             membership, news = make_membership()
@@ -78,6 +87,15 @@
         assert membership.own_record == make_node("own", sequence=50)
         assert len(news) == 2
 
+    def test_two_processes_with_one_name_do_not_flood_the_fleet(self):
+        membership, news = make_membership()
+        for now_ms in range(0, 60_000, 100):
+            rival = make_node("own", membership.own_record.incarnation + 1)
+            membership.merge([rival], [], now_ms)
+        assert len(news) <= 12
+        membership.check(60_000 + RIVAL_PERIOD_MAX_MS)
+        assert membership.own_record.incarnation == rival.incarnation + 1
+
     def test_restart_with_a_clock_behind_still_gets_a_higher_incarnation(self):
         membership, _ = make_membership()
         membership.publish_target("inquiry", "t", TargetState.READY, 10, 0)
@@ -85,6 +103,7 @@
         assert membership.own_record == make_node("own", incarnation=901)
         assert membership.targets == {}
 
+    @pytest.mark.proves("no-dangling-route", "reordered", "restart")
     def test_targets_of_a_former_incarnation_vanish(self):
         membership, _ = make_membership(make_node("b"), targets=[make_target("b")])
         membership.merge([make_node("b", incarnation=200)], [], 0)
@@ -154,10 +173,13 @@
         ]
 
     def test_death_without_suspicion_has_time_to_be_refuted(self):
-        membership, _ = make_membership(make_node("b"))
+        membership, _ = make_membership(make_node("b"), targets=[make_target("b")])
         membership.merge([DEAD], [], 1000)
         assert membership.grace == {"b"}
-        assert membership.check(1000 + DEAD_AFTER_MS) == [DEAD]
+        membership.take_changed_services()
+        assert not membership.check(1000 + DEAD_AFTER_MS - 1)
+        assert membership.check(1000 + DEAD_AFTER_MS)
+        assert membership.take_changed_services() == {"inquiry"}
         assert membership.grace == set()
         membership.check(1000 + RECENTLY_DEAD_MS)
         assert membership.recently_dead == {}
--- a/packages/testing/src/gentianlink/testing/fake_platform.py
+++ b/packages/testing/src/gentianlink/testing/fake_platform.py
@@ -91,6 +91,12 @@
         """Read one row."""
         return self.plan.run(lambda: Row(key, *self.state.read(key)))
 
+    async def scan(self, prefix, after="", limit=1000):
+        """Read the rows whose keys have a prefix."""
+        return self.plan.run(
+            lambda: [Row(*row) for row in self.state.scan(prefix, after, limit)]
+        )
+
     async def transact(self, puts, checks=()):
         """Write rows if each checked row is still at its revision."""
         return self.plan.run(lambda: self._transact(puts, checks))
--- a/packages/testing/src/gentianlink/testing/test_node_process.py
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -9,6 +9,7 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 from tornado.simple_httpclient import HTTPStreamClosedError
+from typer.testing import CliRunner
 
 from gentianlink.core.announcement import Announcement
 from gentianlink.core.codec import encode
@@ -16,6 +17,7 @@
 from gentianlink.testing.demo import apply_catalogue, get_status, wait_for
 from gentianlink.testing.fleet import NODE_SETTINGS, Fleet
 from gentianlink.testing.loopback import get_own_address, get_ports
+from gentianlink.tools.main import make_application as make_command_line
 
 CATALOGUE = """\
 [service inquiry]
@@ -65,6 +67,26 @@
         await wait_for([self.member], lambda status: status["in_flight"] == 1)
         return task
 
+    async def begin_call_of(self, key):
+        return asyncio.ensure_future(
+            AsyncHTTPClient().fetch(
+                self.member.call_url + "/inquiry/balance",
+                method="POST",
+                body=b"{}",
+                headers={"Idempotency-Key": key},
+            )
+        )
+
+    def run_command(self, words):
+        url = self.fleet.platform_url
+        environment = {
+            "GENTIANLINK_TABLE_URL": f"{url}/table",
+            "GENTIANLINK_OBJECT_URL": f"{url}/objects",
+        }
+        result = CliRunner().invoke(make_command_line(), words, env=environment)
+        assert result.exit_code == 0, result.output
+        return json.loads(result.stdout)
+
     async def ask(self, path, method="GET", body=None):
         response = await AsyncHTTPClient().fetch(
             self.member.admin_url + path, method=method, body=body, raise_error=False
@@ -91,6 +113,22 @@
     process.fleet.stop()
 
 
+async def run_operators_questions(process):
+    await process.start(work_ms=1)
+    await (await process.begin_call_of("k0"))
+    url = process.member.admin_url
+    answers = {}
+    for words in (
+        ("status", "--json"),
+        ("audit", "--json"),
+        ("catalogue", "wait", "1", "--json"),
+        ("explain", "/inquiry/balance/7", "--node", url, "--json"),
+    ):
+        answers[words[0]] = await asyncio.to_thread(process.run_command, words)
+    response = await AsyncHTTPClient().fetch(url + "/metrics")
+    return answers, response.body.decode()
+
+
 async def run_graceful_stop(process):
     await process.start(SLOW_MS)
     call = await process.begin_call()
@@ -177,6 +215,31 @@
 
 
 class TestNodeProcess:
+    def test_answers_to_operators(self, process):
+        answers, metrics = asyncio.run(run_operators_questions(process))
+        assert answers["status"]["nodes"] == [
+            {
+                "node_id": "inquiry-1",
+                "data_centre": "kingston-1",
+                "reached": True,
+                "ready": True,
+                "version": 1,
+                "why": "",
+            }
+        ]
+        nodes = answers["audit"]["changes"][0]["nodes"]
+        assert [(item["node_id"], item["why_not"]) for item in nodes] == [
+            ("inquiry-1", "")
+        ]
+        assert answers["catalogue"]["complete"]
+        endpoints = answers["explain"]["endpoints"]
+        assert answers["explain"]["entry"] == "balance"
+        assert [(item["target_id"], item["why"]) for item in endpoints] == [
+            ("target-inquiry-1", "takes new work")
+        ]
+        assert 'calls_by_class{class="at-most-once",outcome="done"} 1\n' in metrics
+        assert 'gentianlink_slots{target="target-inquiry-1",use="free"} 2\n' in metrics
+
     def test_call_in_flight_survives_the_stop(self, process):
         target_answer, response = asyncio.run(run_graceful_stop(process))
         status, answer = target_answer
