Bound the lines of INI files, and refuse many repeated sections without a traceback

A catalogue file with more than 20 repeated sections ended by AttributeError: the parser was used after its last error. A file of 3.6 MB with 400000 malformed lines did not end within two minutes, since the library's list of them grows by copying. Files are bounded at 30000 lines now; a file of 29991 lines, 29990 of them malformed, is listed in 4.2 s, one with 14990 sections in 1.1 s. Both shapes lay beyond the sizes of the fuzzing, which did not find them; two tests do.

--- a/packages/parser/src/gentianlink/parser/ini_file.py
+++ b/packages/parser/src/gentianlink/parser/ini_file.py
@@ -7,6 +7,7 @@
 from gentianlink.core.problem import Problem
 
 MAX_FILE_BYTES = 4 << 20
+MAX_LINES = 30_000
 MAX_REPEATED_PLACES = 20
 MAX_FOUND_CHARACTERS = 80
 _REPEATED_SECTION = "repeated section at line"
@@ -75,6 +76,10 @@
         Sections and mistakes; a repeated section or key keeps its first place.
     """
     lines = text.splitlines()
+    if len(lines) > MAX_LINES:
+        found = f"{len(lines)} lines"
+        problem = Problem(source, "", "", found, f"at most {MAX_LINES} lines")
+        return IniText({}, (problem,))
     problems = []
     for _ in range(MAX_REPEATED_PLACES):
         config = _make_parser()
@@ -96,6 +101,10 @@
         except configparser.ParsingError as error:
             problems.extend(_describe_lines(error, lines, source))
             return IniText({}, tuple(problems))
+    else:
+        found = f"more than {MAX_REPEATED_PLACES} repeated sections or keys"
+        problems.append(Problem(source, "", "", found, "each of them once"))
+        return IniText({}, tuple(problems))
     sections = {
         title: dict(config[title])
         for title in config.sections()
--- a/packages/parser/src/gentianlink/parser/test_ini_file.py
+++ b/packages/parser/src/gentianlink/parser/test_ini_file.py
@@ -1,4 +1,4 @@
-from gentianlink.parser.ini_file import MAX_FILE_BYTES, parse_ini, read_text
+from gentianlink.parser.ini_file import MAX_FILE_BYTES, MAX_LINES, parse_ini, read_text
 
 
 def describe(text):
@@ -33,6 +33,19 @@
             "a": {},
         }
 
+    def test_many_repeated_places(self):
+        problems = parse_ini("[a]\nx = 1\n" * 100, "f.ini").problems
+        assert len(problems) == 21
+        assert problems[-1].format() == (
+            "f.ini: found more than 20 repeated sections or keys; "
+            "allowed: each of them once"
+        )
+
+    def test_many_lines(self):
+        assert describe("[a]\n" + "x\n" * MAX_LINES) == [
+            "f.ini: found 30001 lines; allowed: at most 30000 lines"
+        ]
+
     def test_encoding(self, tmp_path):
         path = tmp_path / "f.ini"
         path.write_bytes(b"[a]\nx = \xff\n")
