--- a/packages/node/src/gentianlink/node/claims/test_at_most_once.py
+++ b/packages/node/src/gentianlink/node/claims/test_at_most_once.py
@@ -10,9 +10,10 @@
 from gentianlink.node.claims.group_writer import GroupWriter
 from gentianlink.node.claims.held_claim import HeldClaim
 from gentianlink.node.claims.retention import get_claim_key
-from gentianlink.testing.claim_checks import check_all
-from gentianlink.testing.claim_world import ClaimWorld
-from gentianlink.testing.schedule import Schedule, explore
+from gentianlink.node.proxy.request_body import RequestBody
+from gentianlink.testing.claims.checks import check_all
+from gentianlink.testing.claims.schedule import RandomSchedule, Schedule, explore
+from gentianlink.testing.claims.world import ClaimWorld
 
 MAX_RUNS = 60_000
 DAY_MS = 24 * 3_600_000
@@ -48,6 +49,15 @@
     return problems
 
 
+async def find_random_problems(nodes, faults, seeds, **options):
+    problems = []
+    for seed in seeds:
+        schedule = RandomSchedule(seed)
+        world, repeat = await run_calls(nodes, schedule, faults, **options)
+        problems.extend((problem, seed) for problem in check_all(world, repeat))
+    return problems
+
+
 class UnfencedClaimTable(ClaimTable):
     """Planted defect: a lost claim is taken for one that was not made."""
 
@@ -91,6 +101,32 @@
 
 
 class TestAtMostOnce:
+    @pytest.mark.proves("at-most-once", "kill", "claim")
+    @pytest.mark.proves("at-most-once", "kill", "dispatch")
+    @pytest.mark.proves("at-most-once", "kill", "answer")
+    @pytest.mark.proves("at-most-once", "freeze", "claim")
+    @pytest.mark.proves("at-most-once", "freeze", "dispatch")
+    @pytest.mark.proves("at-most-once", "freeze", "answer")
+    @pytest.mark.proves("at-most-once", "reordered", "claim")
+    @pytest.mark.proves("at-most-once", "reordered", "dispatch")
+    @pytest.mark.proves("at-most-once", "reordered", "answer")
+    @pytest.mark.proves("at-most-once", "answer-lost", "claim")
+    @pytest.mark.proves("at-most-once", "answer-lost", "dispatch")
+    @pytest.mark.proves("at-most-once", "answer-lost", "answer")
+    @pytest.mark.proves("at-most-once", "race", "claim")
+    @pytest.mark.proves("at-most-once", "race", "dispatch")
+    @pytest.mark.proves("at-most-once", "table-down", "answer")
+    @pytest.mark.proves("at-most-once", "lease-lapse", "claim")
+    @pytest.mark.proves("at-most-once", "lease-lapse", "dispatch")
+    @pytest.mark.proves("not-run", "kill", "claim")
+    @pytest.mark.proves("not-run", "freeze", "claim")
+    @pytest.mark.proves("not-run", "reordered", "claim")
+    @pytest.mark.proves("not-run", "answer-lost", "claim")
+    @pytest.mark.proves("not-run", "race", "claim")
+    @pytest.mark.proves("not-run", "table-down", "claim")
+    @pytest.mark.proves("not-run", "lease-lapse", "claim")
+    @pytest.mark.proves("not-run", "answer-lost", "dispatch")
+    @pytest.mark.proves("not-run", "table-down", "dispatch")
     @pytest.mark.parametrize(
         ("nodes", "faults", "make_writer"),
         [
@@ -106,6 +142,12 @@
         work = find_problems(nodes, faults, make_writer=make_writer)
         assert asyncio.run(work) == []
 
+    @pytest.mark.parametrize("make_writer", [None, make_group_writer])
+    def test_many_faults_at_random_steps(self, make_writer):
+        nodes = ["a", "b", "b", "c"]
+        work = find_random_problems(nodes, 5, range(400), make_writer=make_writer)
+        assert asyncio.run(work) == []
+
     @pytest.mark.parametrize(
         ("nodes", "claim_table_class", "problem"),
         [
@@ -131,12 +173,14 @@
         problems = {message for message, _ in asyncio.run(work)}
         assert problems == {"key k executed 2 times"}
 
+    @pytest.mark.proves("own-answer", "none", "answer")
     def test_repeat_gets_recorded_answer(self):
         world, repeat = asyncio.run(run_calls(["a"], Schedule([]), 0))
         assert [item.is_replay for item in world.submissions] == [False, True]
         assert repeat.answer == b"answer to k b"
         assert len(world.executions) == 1
 
+    @pytest.mark.proves("at-most-once", "bad-input", "claim")
     def test_same_key_with_another_body_is_refused(self):
         async def run():
             world = ClaimWorld(Schedule([]), 0)
@@ -223,3 +267,14 @@
         paused, world = asyncio.run(run())
         assert (paused.reason, paused.outcome) == (Reason.KEY_EXPIRED, Outcome.UNKNOWN)
         assert len(world.executions) == 1
+
+    def test_streamed_body_is_refused_without_a_claim(self):
+        async def run():
+            world = ClaimWorld(Schedule([]), 0)
+            streamed = world.submit("a", stream=RequestBody(b""))
+            await world.run_to_end()
+            return streamed, world
+
+        streamed, world = asyncio.run(run())
+        assert streamed.outcome is Outcome.NOT_RUN
+        assert (world.table.writes, world.executions) == (0, [])
--- a/packages/node/src/gentianlink/node/mesh/mesh.py
+++ b/packages/node/src/gentianlink/node/mesh/mesh.py
@@ -56,6 +56,11 @@
         """Links by name of the neighbour."""
         return self._links
 
+    @property
+    def own_record(self):
+        """Record of this node."""
+        return self._records.own_record
+
     @property
     def control_bytes(self):
         """Bytes of messages by direction and kind."""
@@ -234,7 +239,7 @@
 
     def flush_records(self):
         """Send the news about nodes and targets that wait."""
-        self._records.flush()
+        self._records.flush(get_monotonic_ms())
 
     def compare_records(self, rng=random):
         """Compare records with one neighbour whose digest differs, if there is one.
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -7,6 +7,7 @@
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError
 from gentianlink.core.node_record import NodeRecord
+from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.background import start_task
@@ -18,6 +19,7 @@
 from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
+from gentianlink.node.live_view import LiveView
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
 from gentianlink.node.mesh.convergence_service import ConvergenceService
@@ -91,11 +93,13 @@
             self._mesh, self._membership, settings.mesh, self._examine
         )
         self._monitor = Monitor(
-            self._membership, self._mesh, settings.mesh, self._on_judged
+            self._membership, self._mesh, settings.mesh, self._schedule_build
         )
-        self._collector = ReportCollector(self._membership)
+        self._live_view = LiveView(self._membership)
+        self._collector = ReportCollector(self._live_view)
         self._convergence = ConvergenceService(
-            self._membership,
+            self._live_view,
+            own_record,
             self._applied,
             self._collector,
             self._mesh.control_bytes,
@@ -267,14 +271,13 @@
         self._mesh.spread_version()
 
     def _on_records(self, nodes, targets, source):
-        self._mark_changed(nodes, targets)
+        for record in targets:
+            if record.state is TargetState.READY:
+                self._health.forget(record.target_id)
+        self._schedule_build()
         self._mesh.spread_records(nodes, targets, source)
 
-    def _on_judged(self, nodes):
-        self._mark_changed(nodes, [])
-
-    def _mark_changed(self, nodes, targets):
-        self._table_builder.mark_changed(nodes, targets)
+    def _schedule_build(self):
         if not self._is_build_due:
             self._is_build_due = True
             loop = asyncio.get_running_loop()
--- a/packages/node/src/gentianlink/node/proxy/exchange_call.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_call.py
@@ -6,7 +6,6 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.proxy.answer_writer import copy_headers
 from gentianlink.node.proxy.errors import (
     BadAnswer,
     CallerGone,
@@ -24,20 +23,34 @@
     ExchangeDeadlinePassed: Reason.DEADLINE_PASSED,
     BadAnswer: Reason.BAD_ANSWER,
 }
-HEADERS_OF_ANSWERS = (
-    names.OUTCOME,
-    names.REASON,
-    names.RETRY_AFTER_MS,
-    names.FREE_SLOTS,
-    names.VERSION,
-    names.TARGET,
-    "Expect",
-)
+SILENT_ANSWERS = 4
+
+
+def compute_silence_ms(limit_ms, remaining_ms, share, mean_ms):
+    """Return after which time without progress a connection counts as silent.
 
+    Parameters
+    ----------
+    limit_ms : float
+        Longest such time in milliseconds.
+    remaining_ms : float
+        Time until the deadline in milliseconds.
+    share : float
+        Share of the remaining time that may pass, so that there is time for another
+        attempt.
+    mean_ms : float
+        Mean time of an answer in milliseconds.
+
+    Returns
+    -------
+    float
+        Time in milliseconds. It is several times that of a usual answer, since a
+        slow target is not silent and another attempt would add to its load.
+    """
+    return min(limit_ms, max(remaining_ms * share, mean_ms * SILENT_ANSWERS))
 
-async def exchange_call(
-    pool, stream, call, relay, silence_ms, silence_share, target_id=None
-):
+
+async def exchange_call(pool, stream, call, relay, silence_ms, target_id=None):
     """Send a call over a connection and relay its answer.
 
     Parameters
@@ -52,9 +65,6 @@
         Takes the answer.
     silence_ms : float
         Longest time in milliseconds without progress.
-    silence_share : float
-        Share of the remaining time after which silence is noticed at the latest, so
-        that time for another attempt is left; 1 for the last attempt.
     target_id : str, optional
         Target that the node at the other end should use.
 
@@ -73,13 +83,10 @@
     if remaining_ms <= 0:
         pool.release(stream, True, get_monotonic_ms())
         return Refusal(Reason.DEADLINE_PASSED)
-    headers = make_target_headers(call, remaining_ms)
-    if target_id is not None:
-        headers[names.TARGET] = target_id
-    bound_ms = min(silence_ms, remaining_ms * silence_share)
+    set_target_headers(call, remaining_ms, target_id)
     is_reusable = False
     try:
-        is_reusable = await run_exchange(stream, call, headers, relay, bound_ms)
+        is_reusable = await run_exchange(stream, call, relay, silence_ms)
     except (CallerGone, asyncio.CancelledError):
         raise
     except ExchangeError as error:
@@ -89,28 +96,22 @@
     return relay.refusal
 
 
-def make_target_headers(call, remaining_ms):
-    """Return the headers that a target or the node beside it receives.
+def set_target_headers(call, remaining_ms, target_id):
+    """Set the headers that a target or the node beside it receives.
 
     Parameters
     ----------
     call : Call
-        The call.
+        The call; its headers are changed in place.
     remaining_ms : float
         Time until the deadline in milliseconds.
-
-    Returns
-    -------
-    HTTPHeaders
-        End-to-end headers of the caller, with the remaining time. Headers that only
-        answers may carry, and the choice of a target, are not taken over.
+    target_id : str or None
+        Target that the node at the other end should use.
     """
-    headers = copy_headers(call.headers)
-    for name in HEADERS_OF_ANSWERS:
-        headers.pop(name, None)
+    headers = call.headers
     headers[names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
     headers[names.ATTEMPT] = str(call.attempt)
-    headers[names.CALLER] = call.caller
-    if call.body:
-        headers["Content-Length"] = str(len(call.body))
-    return headers
+    if target_id is not None:
+        headers[names.TARGET] = target_id
+    elif names.TARGET in headers:
+        del headers[names.TARGET]
--- a/packages/ops/src/gentianlink/ops/choose.py
+++ b/packages/ops/src/gentianlink/ops/choose.py
@@ -3,14 +3,15 @@
 import random
 
 NO_FREE_SLOT = 1.0
+SPILL_LOAD = 0.8
 
 
 def choose_endpoint(route, own_record, endpoints, get_load, excluded=(), rng=random):
     """Choose the local target if it has a free slot, else by two random candidates.
 
     Candidates are the endpoints of the preferred data centres, then of this node's
-    own, as long as any of them has a free slot; then all endpoints with a free slot,
-    and all endpoints if there is none.
+    own, as long as any of them is below the spill load; then all endpoints with a free
+    slot, and all endpoints if there is none.
 
     Parameters
     ----------
@@ -44,7 +45,7 @@
 def _get_near(prefer, data_centre, endpoints, get_load):
     for name in (*prefer, data_centre):
         near = [item for item in endpoints if item.data_centre == name]
-        if any(get_load(item) < NO_FREE_SLOT for item in near):
+        if any(get_load(item) < SPILL_LOAD for item in near):
             return near
     free = [item for item in endpoints if get_load(item) < NO_FREE_SLOT]
     return free or endpoints
