--- a/packages/node/src/gentianlink/node/mesh/record_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/record_exchange.py
@@ -18,7 +18,7 @@
 from gentianlink.ops.membership import BUCKETS
 
 NEWS_DELAY_MS = 30
-NEWS_PERIOD_MS = 200
+NEWS_PERIOD_MS = 500
 NEWS_RECORDS = 100
 FRAME_RECORDS = 200
 COMPARISON_MIN_MS = 1000
