--- a/packages/node/src/gentianlink/node/head_reader.py
+++ b/packages/node/src/gentianlink/node/head_reader.py
@@ -147,9 +147,17 @@
         self._get_neighbour_version = get_neighbour_version
         self._has_neighbours = has_neighbours
         self._rng = rng
+        self._ranked_changes = None
+        self._was_chosen = False
         self._failures = 0
+        self._failure = ""
         self._behind_since_ms = None
 
+    @property
+    def failure(self):
+        """Why the last read failed; empty if it did not."""
+        return self._failure
+
     async def run(self):
         """Read the head again and again until cancelled."""
         while True:
@@ -175,9 +183,13 @@
         return compute_poll_ms(is_chosen, nodes, poll_ms, self._rng)
 
     def _is_chosen(self):
-        own = self._membership.own_record
-        nodes = self._membership.get_live_nodes()
-        return is_reader(own, nodes, self._settings.readers)
+        changes = self._membership.view_changes
+        if changes != self._ranked_changes:
+            self._ranked_changes = changes
+            own = self._membership.own_record
+            nodes = self._membership.get_live_nodes()
+            self._was_chosen = is_reader(own, nodes, self._settings.readers)
+        return self._was_chosen
 
     async def read_once(self, now_ms):
         """Read the head and take in its version if it is later.
@@ -195,8 +207,10 @@
                 await self._take_in(head, now_ms)
         except (PlatformError, CatalogueError, CodecError) as error:
             self._failures += 1
+            self._failure = f"{type(error).__name__}: {error}"
             _LOG.warning("head not read", why=type(error).__name__, detail=str(error))
             return
+        self._failure = ""
         is_behind = head.version > self._applied.latest.version
         self._failures = self._failures + 1 if is_behind else 0
 
--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -94,12 +94,14 @@
         context : grpc.aio.ServicerContext
             The call.
         """
-        return encode_answer(self._collector.compute(request.version))
+        state = self._collector.compute(request.version, request.shard, request.shards)
+        return encode_answer(state)
 
 
 async def _read_link(mesh, frames, link):
     try:
-        hello = await asyncio.wait_for(anext(frames), HELLO_TIMEOUT_S)
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            hello = await anext(frames)
         await mesh.run_link(hello, frames, link)
     except LinkRefused as error:
         _LOG.info("link refused", peer=link.peer_id, why=str(error))
--- a/packages/node/src/gentianlink/node/mesh/test_version_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/test_version_exchange.py
@@ -10,7 +10,12 @@
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.applied_catalogue import AppliedCatalogue
 from gentianlink.node.mesh import mesh_pb2
-from gentianlink.node.mesh.version_exchange import RETRY_USELESS_MS, VersionExchange
+from gentianlink.node.mesh.version_exchange import (
+    MAX_CONTENT_BYTES,
+    RETRY_USELESS_MS,
+    TOO_LARGE_WAIT_MS,
+    VersionExchange,
+)
 from gentianlink.node.mesh.version_fetch import FETCH_TIMEOUT_MS, RETRY_SILENT_MS
 from gentianlink.ops.delta import compute_delta
 
@@ -149,6 +154,14 @@
         node.exchange.handle_fetch(0, node.links[2], 1100)
         assert node.take() == {"c": [("content", 1, 1, 0)]}
 
+    def test_snapshot_too_large_for_a_message_is_left_to_the_object_store(self):
+        giver = Neighbour()
+        service = Service("inquiry", "x" * MAX_CONTENT_BYTES)
+        large = Catalogue(1, (service,))
+        giver.applied.apply_snapshot(1, compute_digest(large), encode(large), 0)
+        giver.exchange.handle_fetch(0, giver.links[0], 0)
+        assert giver.take() == {"a": [("busy", TOO_LARGE_WAIT_MS + 1)]}
+
     def test_only_one_neighbour_is_asked(self, node):
         node.hear(2, node.links[0])
         node.hear(2, node.links[1])
@@ -189,11 +202,29 @@
     def test_deltas_that_do_not_chain_are_asked_for_again(self, node):
         node.receive(make_deltas(2, 3), node.links[0])
         assert node.take() == {"a": [("fetch", 1)]}
-        node.receive(make_deltas(2, 3), node.links[0])
+        wrong = compute_delta(Catalogue(1), make_version(3))
+        content = mesh_pb2.Content(version=3, deltas=[encode(wrong)])
+        node.receive(content, node.links[0])
         assert node.take() == {"a": [("fetch", 0)]}
         node.receive(make_snapshot(3), node.links[0])
         assert (node.applied.catalogue, node.take()) == (make_version(3), {})
 
+    def test_deltas_that_come_ahead_of_the_answer(self, node):
+        node.hear(3, node.links[0])
+        assert node.take() == {"a": [("fetch", 1)]}
+        node.receive(make_deltas(3, 4), node.links[0])
+        assert node.take() == {}
+        node.receive(make_deltas(1, 3), node.links[0])
+        assert (node.applied.version, node.take()) == (3, {"a": [("fetch", 3)]})
+
+    @pytest.mark.proves("in-force", "reordered", "spread")
+    def test_answer_that_a_push_overtook_is_no_fault_of_the_neighbour(self, node):
+        node.hear(2, node.links[0])
+        node.receive(make_deltas(1, 2), node.links[1])
+        node.hear(3, node.links[0])
+        node.receive(make_deltas(1, 2), node.links[0])
+        assert node.take() == {"a": [("fetch", 1), ("fetch", 2)]}
+
     @pytest.mark.proves("all-or-none", "reordered", "spread")
     def test_corrupt_snapshot_is_asked_for_elsewhere(self, node):
         node.hear(2, node.links[0])
--- a/packages/node/src/gentianlink/node/mesh/version_exchange.py
+++ b/packages/node/src/gentianlink/node/mesh/version_exchange.py
@@ -14,6 +14,8 @@
 _LOG = get_logger("mesh")
 
 RETRY_USELESS_MS = 10_000
+MAX_CONTENT_BYTES = 3 << 20
+TOO_LARGE_WAIT_MS = 60_000
 
 
 class VersionExchange:
@@ -87,13 +89,27 @@
         if deltas:
             self._send_deltas(link, deltas)
             return
+        if self._is_too_large():
+            self._send_busy(link, TOO_LARGE_WAIT_MS)
+            return
         wait_ms = self._limit.admit(now_ms)
         if wait_ms:
-            busy = mesh_pb2.Busy(wait_ms=int(wait_ms) + 1)
-            link.send(mesh_pb2.Frame(busy=busy))
+            self._send_busy(link, wait_ms)
             return
         self._send_snapshots(link)
 
+    def _is_too_large(self):
+        """Return whether a neighbour must read the object store instead."""
+        sizes = {
+            held.version: len(held.data)
+            for held in (self._applied.in_force, self._applied.latest)
+        }
+        return sum(sizes.values()) > MAX_CONTENT_BYTES
+
+    def _send_busy(self, link, wait_ms):
+        busy = mesh_pb2.Busy(wait_ms=int(wait_ms) + 1)
+        link.send(mesh_pb2.Frame(busy=busy))
+
     def handle_busy(self, busy, link, links, now_ms):
         """Ask another neighbour, and this one after its wait."""
         wait_ms = busy.wait_ms * self._rng.uniform(1, 2)
@@ -105,7 +121,6 @@
         link.version = max(link.version, content.version)
         was_asked = self._fetch.is_awaited_from(link)
         self._applied.note_accepted(content.version, content.accepted_ms)
-        held_before = self._applied.latest.version
         try:
             self._apply(content)
         except (CatalogueError, CodecError) as error:
@@ -113,7 +128,7 @@
             self._handle_mismatch(content, link, was_asked, now_ms)
         else:
             self._fetch.finish(link)
-            if was_asked and self._applied.latest.version == held_before:
+            if was_asked and self._applied.latest.version < content.version:
                 self._fetch.pass_over(link, RETRY_USELESS_MS, now_ms)
         self._fetch.ask(links, now_ms)
 
@@ -129,9 +144,17 @@
     def _handle_mismatch(self, content, link, was_asked, now_ms):
         if content.snapshots:
             self._fetch.pass_over(link, RETRY_USELESS_MS, now_ms)
-        elif was_asked:
+        elif was_asked and not self._starts_later(content):
             self._fetch.ask_whole(link, now_ms)
 
+    def _starts_later(self, content):
+        """Return whether deltas came unasked, ahead of the answer still to come."""
+        try:
+            first = decode(content.deltas[0], Delta)
+        except CodecError:
+            return False
+        return first.from_version > self._applied.latest.version
+
     def spread(self, links):
         """Send the version held to a few neighbours that lack it, tell the others.
 
--- a/packages/node/src/gentianlink/node/proxy/local_targets.py
+++ b/packages/node/src/gentianlink/node/proxy/local_targets.py
@@ -1,6 +1,7 @@
 """The targets beside this node, as they announce themselves."""
 
 from gentianlink.core.errors import AnnouncementInvalid
+from gentianlink.core.target_load import TargetLoad
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.proxy.gate import Gate
 from gentianlink.node.proxy.local_target import LocalTarget
@@ -38,6 +39,25 @@
         """Return all targets beside this node."""
         return list(self._targets.values())
 
+    def get_loads(self):
+        """Return how busy the targets beside this node are, by name.
+
+        Returns
+        -------
+        dict of str to TargetLoad
+            Use of slots and queue of each target.
+        """
+        return {
+            target.target_id: TargetLoad(
+                service=target.service,
+                state=target.state.value,
+                in_flight=target.gate.in_flight,
+                free_slots=target.gate.free_slots,
+                queued=target.gate.queued,
+            )
+            for target in self.get_all()
+        }
+
     def announce(self, announcement, now_ms):
         """Take in an announcement or a heartbeat.
 
--- a/packages/node/src/gentianlink/node/test_admin.py
+++ b/packages/node/src/gentianlink/node/test_admin.py
@@ -141,6 +141,12 @@
         answer["type"] = "AdminRequestInvalid"
         assert ask("GET", f"/v1/explain{query}") == (400, answer)
 
+    @pytest.mark.parametrize("text", ["x", "-1", "1.5", "%d9%a1", "9" * 5000])
+    def test_bad_version(self, ask, text):
+        answer = {"error": "version is not a whole number"}
+        answer["type"] = "AdminRequestInvalid"
+        assert ask("GET", f"/v1/convergence?version={text}") == (400, answer)
+
     def test_reload(self, ask):
         answer = {"applied": ["log.level"], "needs_restart": []}
         assert ask("POST", "/v1/reload", b"") == (200, answer)
