--- a/packages/node/src/gentianlink/node/test_metrics.py
+++ b/packages/node/src/gentianlink/node/test_metrics.py
@@ -72,11 +72,13 @@
             'gentianlink_platform_requests{kind="write"} 11',
             'gentianlink_queued_calls{target="t1"} 9',
             "gentianlink_ready 1",
+            "gentianlink_records 8",
             'gentianlink_refusals{reason="overloaded"} 6',
             "gentianlink_refused_versions 1",
             "gentianlink_retries 7",
             'gentianlink_slots{target="t1",use="free"} 2',
             'gentianlink_slots{target="t1",use="taken"} 8',
+            "gentianlink_table_builds 3",
         ]
 
     def test_target_that_left(self, metrics):
