Split joining, own record and listening out of the node

Cause: node.py had grown to 475 lines with loops of three shapes. Change: mesh/joining.py, own_record.py, listen_failure.py and periodic.py; one function repeats the steps that four loops repeated. format_settings had no caller and is gone.

--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,12 +1,7 @@
 """Put the parts of a node together, run them, and stop them gracefully."""
 
 import asyncio
-import contextlib
-import random
 
-from gentianlink.core.codec import encode
-from gentianlink.core.errors import PlatformError
-from gentianlink.core.node_record import NodeRecord
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
@@ -17,20 +12,22 @@
 from gentianlink.node.claims.liveness import make_is_cleaner, make_is_live
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.endpoint_health import EndpointHealth
-from gentianlink.node.errors import ListenFailed
 from gentianlink.node.head_reader import HeadReader
+from gentianlink.node.listen_failure import report_listen_failure
 from gentianlink.node.live_view import LiveView
 from gentianlink.node.log import get_logger
 from gentianlink.node.membership import Membership
 from gentianlink.node.mesh.convergence_service import ConvergenceService
-from gentianlink.node.mesh.dialer import compute_backoff_ms
 from gentianlink.node.mesh.failure_detector import FailureDetector
+from gentianlink.node.mesh.joining import Joining
 from gentianlink.node.mesh.mesh import Mesh
 from gentianlink.node.mesh.monitor import TICK_MS, Monitor
 from gentianlink.node.mesh.server import start_mesh_server
 from gentianlink.node.mesh.topology import Topology
 from gentianlink.node.metrics import NodeMetrics
 from gentianlink.node.node_status import NodeStatus
+from gentianlink.node.own_record import make_own_record
+from gentianlink.node.periodic import run_periodically
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.node.proxy.dispatcher import Dispatcher
 from gentianlink.node.proxy.load_view import LoadView
@@ -40,23 +37,16 @@
 from gentianlink.node.report_collector import ReportCollector
 from gentianlink.node.table_builder import TableBuilder
 from gentianlink.ops.explain import explain_call
-from gentianlink.platform.admin_rows import write_admin_address
 from gentianlink.platform.catalogue_store import CatalogueStore
-from gentianlink.platform.node_rows import read_node_addresses, write_node_address
 from gentianlink.platform.object_client import ObjectClient
 from gentianlink.platform.table_client import TableClient
 
 _LOG = get_logger("node")
 
-CANNOT_BIND = "the port is in use, or the address is not this instance's"
 AVOIDED = "avoided after failed calls of this node"
-EXPIRE_PERIOD_S = 0.2
+SWEEP_PERIOD_S = 0.2
 FETCH_CHECK_S = 0.1
-JOIN_ATTEMPTS_BEFORE_SCAN = 2
-MIN_JOIN_WAIT_MS = 50
 TABLE_BUILD_DELAY_MS = 20
-FIRST_ROW_PERIOD_MS = 30 * 1000
-ROW_PERIOD_MS = 30 * 60 * 1000
 
 
 class Node:
@@ -92,6 +82,13 @@
         self._topology = Topology(
             self._mesh, self._membership, settings.mesh, self._examine
         )
+        self._joining = Joining(
+            own_record,
+            self._mesh,
+            self._topology,
+            self._platform_table,
+            settings.mesh,
+        )
         self._monitor = Monitor(
             self._membership, self._mesh, settings.mesh, self._schedule_build
         )
@@ -301,12 +298,12 @@
         mesh_server = await self._start_servers()
         for work in (
             self._reader.run(),
-            self._run_topology(),
-            self._run_monitor(),
-            self._run_version_fetch(),
+            self._joining.run(),
+            self._joining.run_rows(),
             self._convergence.run(),
-            self._run_expiry(),
-            self._publish_own_row(),
+            run_periodically(self._tick_monitor, TICK_MS / 1000),
+            run_periodically(self._mesh.ask_for_version, FETCH_CHECK_S),
+            run_periodically(self._sweep, SWEEP_PERIOD_S),
             self._run_cleaner(),
         ):
             self._tasks.append(start_task(work, work.__qualname__))
@@ -348,43 +345,14 @@
         await mesh_server.stop(0.1)
         _LOG.info("node stopped")
 
-    async def _run_topology(self):
-        attempt = 0
-        while True:
-            addresses = ()
-            attempt = 0 if self._mesh.links else attempt + 1
-            has_tried_seeds = attempt > JOIN_ATTEMPTS_BEFORE_SCAN
-            if attempt and (has_tried_seeds or not self._settings.mesh.seeds):
-                addresses = await self._find_addresses()
-            self._topology.update(get_monotonic_ms(), addresses)
-            wait_ms = self._settings.mesh.heartbeat_ms
-            if not self._mesh.links:
-                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
-            await asyncio.sleep(wait_ms / 1000)
-
-    async def _find_addresses(self):
-        try:
-            return await read_node_addresses(self._platform_table)
-        except PlatformError:
-            return ()
-
-    async def _run_monitor(self):
-        while True:
-            self._monitor.tick(get_monotonic_ms())
-            await asyncio.sleep(TICK_MS / 1000)
-
-    async def _run_version_fetch(self):
-        while True:
-            self._mesh.ask_for_version()
-            await asyncio.sleep(FETCH_CHECK_S)
-
-    async def _run_expiry(self):
-        while True:
-            now_ms = get_monotonic_ms()
-            self._local_targets.expire(now_ms)
-            self._pool.sweep(now_ms)
-            self._calls.sweep(now_ms)
-            await asyncio.sleep(EXPIRE_PERIOD_S)
+    def _sweep(self):
+        now_ms = get_monotonic_ms()
+        self._local_targets.expire(now_ms)
+        self._pool.sweep(now_ms)
+        self._calls.sweep(now_ms)
+
+    def _tick_monitor(self):
+        self._monitor.tick(get_monotonic_ms())
 
     async def _run_cleaner(self):
         settings = self._settings.claims
@@ -393,83 +361,3 @@
         )
         is_cleaner = make_is_cleaner(self._membership)
         await run_cleaner(cleaner, is_cleaner, settings.clean_period_ms)
-
-    async def _publish_own_row(self):
-        own = self._membership.own_record
-        address = f"{own.address}:{own.mesh_port}"
-        admin_address = f"{own.address}:{own.admin_port}"
-        attempt = 0
-        period_ms = FIRST_ROW_PERIOD_MS
-        while True:
-            try:
-                await write_node_address(
-                    self._platform_table, own.data_centre, own.node_id, address
-                )
-                await write_admin_address(
-                    self._platform_table, own.data_centre, own.node_id, admin_address
-                )
-                self._topology.add_candidates(await self._find_addresses())
-                wait_ms = random.uniform(0.5, 1.5) * period_ms
-                period_ms = ROW_PERIOD_MS
-                attempt = 0
-            except PlatformError:
-                wait_ms = MIN_JOIN_WAIT_MS + compute_backoff_ms(attempt)
-                attempt += 1
-            await asyncio.sleep(wait_ms / 1000)
-
-
-@contextlib.contextmanager
-def report_listen_failure(key, listen):
-    """Turn the failure to listen on a port into a typed error.
-
-    Parameters
-    ----------
-    key : str
-        Key of the port.
-    listen : ListenSettings
-        Addresses of this node.
-
-    Raises
-    ------
-    ListenFailed
-        If the block fails to listen.
-    """
-    try:
-        yield
-    except (OSError, RuntimeError) as error:
-        why = getattr(error, "strerror", None) or CANNOT_BIND
-        port = getattr(listen, key)
-        raise ListenFailed(key, listen.address, port, why) from error
-
-
-def make_own_record(settings, now_ms):
-    """Return the record of this node.
-
-    Parameters
-    ----------
-    settings : Settings
-        Checked settings.
-    now_ms : int
-        Present time in milliseconds since the epoch, used as incarnation.
-
-    Returns
-    -------
-    NodeRecord
-        The record.
-    """
-    return NodeRecord(
-        node_id=settings.node.id,
-        incarnation=now_ms,
-        sequence=1,
-        region=settings.node.region,
-        data_centre=settings.node.data_centre,
-        address=settings.listen.address,
-        call_port=settings.listen.call_port,
-        mesh_port=settings.listen.mesh_port,
-        admin_port=settings.listen.admin_port,
-    )
-
-
-def format_settings(settings):
-    """Return the settings as one line of JSON."""
-    return encode(settings).decode()
