--- a/packages/node/src/gentianlink/node/proxy/test_exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/test_exchange.py
@@ -24,6 +24,7 @@
 
         assert tools.run(test) == ([b"/x/0", b"/x/1", b"/x/2"], 1)
 
+    @pytest.mark.proves("own-answer", "reordered", "answer")
     def test_late_answer_reaches_nobody(self, tools):
         async def test(bench):
             late = asyncio.Event()
@@ -48,6 +49,7 @@
         assert tools.run(test) == ((504, "unknown", "deadline-passed"), b"/x/2")
 
     @pytest.mark.parametrize("is_at_once", [True, False])
+    @pytest.mark.proves("own-answer", "reordered", "dispatch")
     def test_second_answer_to_one_request_reaches_nobody(self, tools, is_at_once):
         async def test(bench):
             sent = asyncio.Event()
@@ -77,6 +79,7 @@
 
         assert tools.run(test) == (b"/x/1", b"/x/2", 2)
 
+    @pytest.mark.proves("own-answer", "cut", "dispatch")
     def test_idle_connection_that_the_target_closed_is_replaced(self, tools):
         async def test(bench):
             closed = asyncio.Event()
@@ -106,6 +109,7 @@
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n",
         ],
     )
+    @pytest.mark.proves("own-answer", "cut", "answer")
     def test_cut_answer_never_looks_whole(self, tools, part):
         async def test(bench):
             async def script(reader, writer, number):
@@ -139,6 +143,9 @@
             ),
         ],
     )
+    @pytest.mark.proves("own-answer", "bad-input", "answer")
+    @pytest.mark.proves("not-run", "cut", "answer")
+    @pytest.mark.proves("at-most-once", "cut", "answer")
     def test_answer_without_a_known_end_is_an_unknown_outcome(
         self, tools, answer, verdict
     ):
@@ -156,6 +163,7 @@
 
         assert tools.run(test) == (verdict, 1)
 
+    @pytest.mark.proves("own-answer", "silent", "answer")
     def test_silent_connection_is_replaced_for_repeatable_work(self, tools):
         async def test(bench):
             async def script(reader, writer, number):
@@ -171,6 +179,8 @@
 
         assert tools.run(test) == ((200, "done", None), b"/x/1", 2)
 
+    @pytest.mark.proves("at-most-once", "silent", "answer")
+    @pytest.mark.proves("not-run", "silent", "answer")
     def test_silent_connection_is_not_replaced_for_at_most_once_work(self, tools):
         async def test(bench):
             async def script(reader, writer, number):
@@ -206,6 +216,7 @@
         assert tools.run(test) == ((503, "not-run", "target-shed"), "70")
 
     @pytest.mark.parametrize("status", ["200 OK", "500 Oops", "503 Busy"])
+    @pytest.mark.proves("own-answer", "bad-input", "dispatch")
     def test_own_answer_of_a_target_is_done_whatever_it_claims(self, tools, status):
         async def test(bench):
             async def script(reader, writer, number):
@@ -244,6 +255,7 @@
 
         assert tools.run(test) == (1, 0)
 
+    @pytest.mark.proves("own-answer", "none", "dispatch")
     def test_answer_passes_two_nodes_whole(self, tools):
         async def test(bench):
             beside = bench.start_node("n1")
--- a/packages/node/src/gentianlink/node/proxy/test_gate.py
+++ b/packages/node/src/gentianlink/node/proxy/test_gate.py
@@ -45,6 +45,7 @@
             ([None, None, None, Reason.OVERLOADED], 2),
         )
 
+    @pytest.mark.proves("not-run", "overload", "dispatch")
     def test_call_that_cannot_end_in_time_is_refused_at_once(self):
         async def run():
             gate = Gate(1)
@@ -59,6 +60,7 @@
         assert [item.reason for item in refusals] == [Reason.OVERLOADED] * 3
         assert [item.retry_after_ms for item in refusals] == [100] * 3
 
+    @pytest.mark.proves("not-run", "freeze", "dispatch")
     def test_call_whose_time_ran_out_in_the_queue_is_not_run(self):
         async def run():
             gate = Gate(1)
@@ -132,6 +134,9 @@
 
         assert asyncio.run(run()) == (0, 0)
 
+    @pytest.mark.proves("no-new-work", "overload", "drain")
+    @pytest.mark.proves("no-cut", "overload", "drain")
+    @pytest.mark.proves("not-run", "overload", "drain")
     def test_drain_sends_waiting_calls_elsewhere_and_cuts_none(self):
         async def run():
             gate = Gate(1)
--- a/packages/node/src/gentianlink/node/proxy/test_router.py
+++ b/packages/node/src/gentianlink/node/proxy/test_router.py
@@ -78,6 +78,8 @@
             ),
         ],
     )
+    @pytest.mark.proves("at-most-once", "cut", "route")
+    @pytest.mark.proves("not-run", "overload", "route")
     def test_retry_only_where_it_is_safe_and_in_one_layer(
         self, tools, script, work_class, headers, attempts, verdict
     ):
@@ -108,6 +110,7 @@
 
         assert tools.run(test) == 1
 
+    @pytest.mark.proves("not-run", "cut", "route")
     def test_call_that_may_have_run_once_is_never_called_not_run(self, tools):
         async def test(bench):
             async def script(tools, reader, writer, number):
@@ -180,6 +183,7 @@
         assert remaining == sorted(remaining, reverse=True)
         assert 2000 >= remaining[0] and remaining[-1] <= 2000 - 15 * 3
 
+    @pytest.mark.proves("own-answer", "kill", "route")
     def test_target_that_fails_is_avoided_at_once(self, tools):
         async def test(bench):
             far = bench.start_node("far")
--- a/packages/node/src/gentianlink/node/proxy/test_server.py
+++ b/packages/node/src/gentianlink/node/proxy/test_server.py
@@ -100,6 +100,7 @@
             ),
         ],
     )
+    @pytest.mark.proves("not-run", "bad-input", "route")
     def test_request_that_cannot_be_served_gets_a_typed_refusal(
         self, tools, request_bytes, status, reason
     ):
@@ -121,6 +122,7 @@
         ("key", "reason"),
         [(None, "key-required"), ("a b", "bad-key"), ("k" * 129, "bad-key")],
     )
+    @pytest.mark.proves("at-most-once", "bad-input", "route")
     def test_at_most_once_work_needs_a_good_key(self, tools, key, reason):
         async def test(bench):
             node = await bench.start_simple(
@@ -132,6 +134,7 @@
 
         assert tools.run(test) == reason
 
+    @pytest.mark.proves("own-answer", "bad-input", "route")
     def test_pipelined_requests_are_answered_in_order(self, tools):
         async def test(bench):
             node = await bench.start_simple(tools.echo_path)
--- a/packages/node/src/gentianlink/node/proxy/test_streaming.py
+++ b/packages/node/src/gentianlink/node/proxy/test_streaming.py
@@ -85,6 +85,7 @@
 
         assert tools.run(test) == (413, "done", b"enough")
 
+    @pytest.mark.proves("own-answer", "cut", "route")
     def test_request_that_the_caller_cuts_never_looks_whole(self, tools):
         async def test(bench):
             begun = asyncio.Event()
@@ -145,6 +146,7 @@
 
         assert tools.run(test) == (502, "unknown")
 
+    @pytest.mark.proves("own-answer", "overload", "answer")
     def test_target_waits_for_a_caller_that_does_not_read(self, tools):
         async def test(bench):
             written = []
--- a/packages/testing/src/gentianlink/testing/test_node_process.py
+++ b/packages/testing/src/gentianlink/testing/test_node_process.py
@@ -240,6 +240,8 @@
         assert 'calls_by_class{class="at-most-once",outcome="done"} 1\n' in metrics
         assert 'gentianlink_slots{target="target-inquiry-1",use="free"} 2\n' in metrics
 
+    @pytest.mark.proves("no-cut", "none", "stop")
+    @pytest.mark.proves("own-answer", "none", "stop")
     def test_call_in_flight_survives_the_stop(self, process):
         target_answer, response = asyncio.run(run_graceful_stop(process))
         status, answer = target_answer
@@ -247,6 +249,7 @@
         assert response.code == 200
         assert json.loads(response.body) == {"target": "target-inquiry-1", "echo": "r1"}
 
+    @pytest.mark.proves("not-run", "none", "drain")
     def test_call_that_is_still_arriving_is_answered(self, process):
         head, code = asyncio.run(run_stop_during_upload(process))
         assert "x-gentianlink-outcome: not-run" in head
