Keep connections to the platform open between requests

A read whose kept connection fails is sent anew, a write never is; a failure drops all idle connections, so a silent one costs one request. Bytes or an end of file on an idle connection retire it (the test takes the answer of nobody if that check is removed). A connection that can't be opened in time now proves that nothing was sent. Ruled out: the pool of the proxy, which streams and belongs to a package above.

--- a/packages/platform/src/gentianlink/platform/object_client.py
+++ b/packages/platform/src/gentianlink/platform/object_client.py
@@ -3,7 +3,8 @@
 import urllib.parse
 
 from gentianlink.core.errors import ObjectNotFound, PlatformAnswerInvalid
-from gentianlink.platform.http import compute_bytes, decode_json, send
+from gentianlink.platform.json_answer import decode_json
+from gentianlink.platform.service_connections import ServiceConnections
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -21,10 +22,8 @@
     """
 
     def __init__(self, url, timeout_ms):
-        self._url = url
-        self._timeout_ms = timeout_ms
+        self._connections = ServiceConnections(url, timeout_ms)
         self._reads = 0
-        self._bytes = 0
 
     @classmethod
     def from_settings(cls, settings):
@@ -34,7 +33,7 @@
     @property
     def transferred_bytes(self):
         """Bytes of requests and answers, with their headers about."""
-        return self._bytes
+        return self._connections.transferred_bytes
 
     @property
     def reads(self):
@@ -62,7 +61,7 @@
             If no answer came.
         """
         self._reads += 1
-        response = await self._send("GET", self._get_url(name))
+        response = await self._connections.send("GET", _get_path(name))
         if response.code == STATUS_NOT_FOUND:
             raise ObjectNotFound(name)
         if response.code != STATUS_OK:
@@ -84,7 +83,7 @@
         PlatformError
             If no answer came.
         """
-        response = await self._send("PUT", self._get_url(name), data)
+        response = await self._connections.send("PUT", _get_path(name), data)
         if response.code != STATUS_OK:
             raise PlatformAnswerInvalid(f"status {response.code}")
 
@@ -108,16 +107,12 @@
         """
         self._reads += 1
         query = urllib.parse.urlencode({"prefix": prefix})
-        response = await self._send("GET", f"{self._url}?{query}")
+        response = await self._connections.send("GET", f"?{query}")
         names = decode_json(response).get("names")
         if not isinstance(names, list):
             raise PlatformAnswerInvalid("no names")
         return names
 
-    def _get_url(self, name):
-        return f"{self._url}/{urllib.parse.quote(name, safe='')}"
 
-    async def _send(self, method, url, body=None):
-        response = await send(method, url, self._timeout_ms, body)
-        self._bytes += compute_bytes(response)
-        return response
+def _get_path(name):
+    return f"/{urllib.parse.quote(name, safe='')}"
--- /dev/null
+++ b/packages/platform/src/gentianlink/platform/service_connections.py
@@ -0,0 +1,192 @@
+"""Persistent connections to one service of the platform, with typed failures."""
+
+import asyncio
+import socket
+import ssl
+import time
+import urllib.parse
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from gentianlink.core.errors import PlatformOutcomeUnknown, PlatformUnavailable
+from gentianlink.platform.answer_reader import AnswerReader
+from gentianlink.platform.service_answer import ServiceAnswer
+
+MAX_ANSWER_BYTES = 64 << 20
+MAX_IDLE = 8
+MAX_IDLE_S = 5.0
+STATUS_SERVER_ERROR = 500
+REFUSED_STATUSES = frozenset((429, 503))
+DEFAULT_PORTS = {"http": 80, "https": 443}
+
+_PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
+
+
+class ServiceConnections:
+    """Connections that wait for their next request to the service.
+
+    Parameters
+    ----------
+    url : str
+        Address of the service.
+    timeout_ms : int
+        Bound in milliseconds on each request.
+    """
+
+    def __init__(self, url, timeout_ms):
+        parts = urllib.parse.urlsplit(url)
+        self._host = parts.hostname
+        self._port = parts.port or DEFAULT_PORTS[parts.scheme]
+        self._path = parts.path
+        self._host_header = parts.netloc.rpartition("@")[2]
+        self._tls = ssl.create_default_context() if parts.scheme == "https" else None
+        self._timeout_s = timeout_ms / 1000
+        self._client = TCPClient()
+        self._idle = []
+        self._bytes = 0
+
+    @property
+    def transferred_bytes(self):
+        """Bytes of requests and answers, with their headers about."""
+        return self._bytes
+
+    async def send(self, method, path, body=None):
+        """Send one request.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path below the service's address, with its query.
+        body : bytes, optional
+            Body of the request.
+
+        Returns
+        -------
+        ServiceAnswer
+            Whole answer with a status below 500.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the request was never sent or was refused.
+        PlatformOutcomeUnknown
+            If no whole answer came.
+        """
+        end_s = time.monotonic() + self._timeout_s
+        answer = await self._send_over_idle(method, path, body, end_s)
+        if answer is None:
+            stream = await self._connect(end_s)
+            answer = await self._exchange(stream, method, path, body, end_s)
+        if answer.code in REFUSED_STATUSES:
+            raise PlatformUnavailable(f"status {answer.code}")
+        if answer.code >= STATUS_SERVER_ERROR:
+            raise PlatformOutcomeUnknown(f"status {answer.code}")
+        return answer
+
+    async def _send_over_idle(self, method, path, body, end_s):
+        """Return the answer over an idle connection, None if a new one is needed."""
+        stream = self._take_idle(time.monotonic())
+        if stream is None:
+            return None
+        try:
+            return await self._exchange(stream, method, path, body, end_s)
+        except PlatformOutcomeUnknown:
+            # What ended this connection may have ended the others as well.
+            self.close()
+            if method != "GET" or time.monotonic() >= end_s:
+                raise
+        return None
+
+    def _take_idle(self, now_s):
+        while self._idle:
+            stream, since_s = self._idle.pop()
+            if now_s - since_s < MAX_IDLE_S and is_quiet(stream):
+                return stream
+            stream.close()
+        return None
+
+    async def _connect(self, end_s):
+        try:
+            async with asyncio.timeout(max(0, end_s - time.monotonic())):
+                stream = await self._client.connect(
+                    self._host, self._port, ssl_options=self._tls
+                )
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            why = type(error).__name__
+            raise PlatformUnavailable(f"no connection: {why}") from error
+        stream.set_nodelay(True)
+        return stream
+
+    async def _exchange(self, stream, method, path, body, end_s):
+        reader = AnswerReader()
+        is_kept = False
+        try:
+            async with asyncio.timeout(max(0, end_s - time.monotonic())):
+                connection = HTTP1Connection(stream, True, _PARAMETERS)
+                self._write(connection, method, path, body)
+                is_open = await connection.read_response(reader)
+            is_kept = is_open and reader.is_whole and reader.keeps_connection
+        except TimeoutError as error:
+            raise PlatformOutcomeUnknown("no answer in time") from error
+        except (StreamClosedError, OSError) as error:
+            raise PlatformOutcomeUnknown(type(error).__name__) from error
+        finally:
+            self._bytes += reader.size_bytes
+            self._keep_or_close(stream, is_kept)
+        if not reader.is_whole:
+            raise PlatformOutcomeUnknown("the answer was cut")
+        return ServiceAnswer(reader.code, reader.body)
+
+    def _write(self, connection, method, path, body):
+        target = self._path + path
+        headers = HTTPHeaders({"Host": self._host_header})
+        if body is not None:
+            headers["Content-Length"] = str(len(body))
+        connection.write_headers(RequestStartLine(method, target, ""), headers, body)
+        connection.finish()
+        self._bytes += len(target) + len(self._host_header) + len(body or b"")
+
+    def _keep_or_close(self, stream, is_kept):
+        if is_kept and len(self._idle) < MAX_IDLE:
+            self._idle.append((stream, time.monotonic()))
+        else:
+            stream.close()
+
+    def close(self):
+        """Close all idle connections."""
+        for stream, _ in self._idle:
+            stream.close()
+        self._idle.clear()
+
+
+def is_quiet(stream):
+    """Return whether a connection is open and nothing arrived on it.
+
+    Between two requests nothing may arrive: bytes would belong to an answer that
+    nobody asked for, and an end of file shows that the service closed.
+
+    Parameters
+    ----------
+    stream : tornado.iostream.IOStream
+        The connection.
+
+    Returns
+    -------
+    bool
+        True if another request can be sent.
+    """
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        socket.socket.recv(stream.socket, 1, flags)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -5,8 +5,9 @@
 import orjson
 
 from gentianlink.core.errors import PlatformAnswerInvalid, WriteConflict
-from gentianlink.platform.http import compute_bytes, decode_json, send
+from gentianlink.platform.json_answer import decode_json
 from gentianlink.platform.row import Row
+from gentianlink.platform.service_connections import ServiceConnections
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -24,10 +25,8 @@
     """
 
     def __init__(self, url, timeout_ms):
-        self._url = url
-        self._timeout_ms = timeout_ms
+        self._connections = ServiceConnections(url, timeout_ms)
         self._reads = 0
-        self._bytes = 0
         self._writes = 0
 
     @classmethod
@@ -38,7 +37,7 @@
     @property
     def transferred_bytes(self):
         """Bytes of requests and answers, with their headers about."""
-        return self._bytes
+        return self._connections.transferred_bytes
 
     @property
     def reads(self):
@@ -70,7 +69,7 @@
         """
         self._reads += 1
         name = urllib.parse.quote(key, safe="")
-        response = await self._send("GET", f"{self._url}/rows/{name}")
+        response = await self._connections.send("GET", f"/rows/{name}")
         return _decode_row(decode_json(response))
 
     async def scan(self, prefix, after="", limit=1000):
@@ -99,7 +98,7 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": limit}
         )
-        response = await self._send("GET", f"{self._url}/rows?{query}")
+        response = await self._connections.send("GET", f"/rows?{query}")
         rows = decode_json(response).get("rows")
         if not isinstance(rows, list):
             raise PlatformAnswerInvalid("no rows")
@@ -141,7 +140,7 @@
                 "deletes": list(deletes),
             }
         )
-        response = await self._send("POST", f"{self._url}/transact", body)
+        response = await self._connections.send("POST", "/transact", body)
         answer = decode_json(response)
         if response.code == STATUS_CONFLICT:
             raise WriteConflict(answer.get("key"), answer.get("revision"))
@@ -150,11 +149,6 @@
             raise PlatformAnswerInvalid(f"status {response.code}")
         return revision
 
-    async def _send(self, method, url, body=None):
-        response = await send(method, url, self._timeout_ms, body)
-        self._bytes += compute_bytes(response)
-        return response
-
 
 def _decode_row(value):
     try:
--- /dev/null
+++ b/packages/platform/src/gentianlink/platform/test_service_connections.py
@@ -0,0 +1,141 @@
+import asyncio
+
+import pytest
+
+from gentianlink.core.errors import PlatformOutcomeUnknown, PlatformUnavailable
+from gentianlink.platform.service_answer import ServiceAnswer
+from gentianlink.platform.service_connections import ServiceConnections
+
+TIMEOUT_MS = 2000
+SHORT_TIMEOUT_MS = 50
+CUT, SILENT = "cut", "silent"
+
+
+def make_answer(body, status="200 OK", more=""):
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+    return head.encode() + body
+
+
+class Service:
+    """Answers the requests of each connection by a script."""
+
+    def __init__(self, *scripts):
+        self._scripts = scripts
+        self.requests = []
+        self.connections = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        script = self._scripts[self.connections]
+        self.connections += 1
+        for answer in script:
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.requests.append(head.split(b" HTTP")[0].decode())
+            if b"Content-Length" in head:
+                await reader.readexactly(1)
+            if answer is SILENT:
+                await reader.read()
+            if answer is CUT:
+                break
+            writer.write(answer)
+        writer.close()
+
+
+def run(service, *requests, timeout_ms=TIMEOUT_MS):
+    """Send requests one after another; return answers or types of failures."""
+
+    async def work():
+        url = f"http://127.0.0.1:{await service.start()}/base"
+        connections = ServiceConnections(url, timeout_ms)
+        results = []
+        for method, path, body in requests:
+            try:
+                answer = await connections.send(method, path, body)
+                results.append(answer)
+            except (PlatformUnavailable, PlatformOutcomeUnknown) as error:
+                results.append(type(error))
+            await asyncio.sleep(0.01)
+        connections.close()
+        return results
+
+    return asyncio.run(work())
+
+
+GET = ("GET", "/a", None)
+POST = ("POST", "/b", b"x")
+OK = ServiceAnswer(200, b"ok")
+WHOLE = make_answer(b"ok")
+
+
+class TestServiceConnections:
+    def test_connection_is_used_again(self):
+        service = Service([WHOLE, WHOLE, WHOLE])
+        assert run(service, GET, POST, GET) == [OK, OK, OK]
+        assert service.requests == ["GET /base/a", "POST /base/b", "GET /base/a"]
+        assert service.connections == 1
+
+    def test_connection_that_the_service_closes_is_not_used_again(self):
+        closing = make_answer(b"ok", more="Connection: close\r\n")
+        service = Service([closing, WHOLE], [WHOLE])
+        assert run(service, POST, POST) == [OK, OK]
+        assert service.connections == 2
+
+    def test_idle_connection_that_was_closed_is_replaced(self):
+        service = Service([WHOLE], [WHOLE])
+        assert run(service, POST, POST) == [OK, OK]
+        assert service.connections == 2
+
+    def test_answer_that_nobody_asked_for_is_not_taken(self):
+        service = Service([WHOLE + make_answer(b"crossed"), SILENT], [WHOLE])
+        assert run(service, POST, POST) == [OK, OK]
+        assert service.connections == 2
+
+    def test_read_whose_answer_is_lost_is_sent_anew(self):
+        service = Service([WHOLE, CUT], [WHOLE])
+        assert run(service, GET, GET) == [OK, OK]
+        assert len(service.requests) == 3
+
+    def test_write_whose_answer_is_lost_is_never_sent_anew(self):
+        service = Service([WHOLE, CUT], [WHOLE])
+        assert run(service, GET, POST, POST) == [OK, PlatformOutcomeUnknown, OK]
+        assert len(service.requests) == 3
+
+    def test_silent_connection_is_given_up(self):
+        service = Service([WHOLE, SILENT], [WHOLE])
+        results = run(service, GET, POST, POST, timeout_ms=SHORT_TIMEOUT_MS)
+        assert results == [OK, PlatformOutcomeUnknown, OK]
+        assert service.connections == 2
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            CUT,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\n\r\nno known end",
+            b"nonsense\r\n\r\n",
+            make_answer(b"", "500 Oops"),
+            make_answer(b"", "502 Bad Gateway"),
+        ],
+    )
+    def test_answer_that_is_not_whole_leaves_the_outcome_open(self, answer):
+        assert run(Service([answer]), POST) == [PlatformOutcomeUnknown]
+
+    @pytest.mark.parametrize("status", ["503 Unavailable", "429 Too Many"])
+    def test_refusal_took_no_effect(self, status):
+        service = Service([make_answer(b"", status), WHOLE])
+        assert run(service, POST, POST) == [PlatformUnavailable, OK]
+        assert service.connections == 1
+
+    def test_service_that_does_not_listen_got_nothing(self):
+        async def work():
+            server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            server.close()
+            await server.wait_closed()
+            await ServiceConnections(f"http://127.0.0.1:{port}", 500).send("POST", "/")
+
+        with pytest.raises(PlatformUnavailable):
+            asyncio.run(work())
