Split reading from accepting versions, and refutation from membership

Change: CatalogueReader for nodes, CatalogueStore adds acceptance; OwnRefutation decides when a node denies what is said of it. Behaviour as before; a test imports two constants from their new place.

--- a/packages/node/src/gentianlink/node/head_reader.py
+++ b/packages/node/src/gentianlink/node/head_reader.py
@@ -114,7 +114,7 @@
 
     Parameters
     ----------
-    store : CatalogueStore
+    versions : CatalogueReader
         Accepted versions.
     applied : AppliedCatalogue
         Versions in force and held.
@@ -132,7 +132,7 @@
 
     def __init__(
         self,
-        store,
+        versions,
         applied,
         membership,
         settings,
@@ -140,7 +140,7 @@
         has_neighbours,
         rng=random,
     ):
-        self._store = store
+        self._versions = versions
         self._applied = applied
         self._membership = membership
         self._settings = settings
@@ -200,7 +200,7 @@
             Present time in milliseconds since the epoch.
         """
         try:
-            head, _ = await self._store.read_head()
+            head, _ = await self._versions.read_head()
             self._applied.set_floor(head.version)
             self._applied.note_accepted(head.version, head.when_ms)
             if self._may_read_objects(head, now_ms):
@@ -242,16 +242,18 @@
         first = self._applied.latest.version + 1
         versions = range(first, head.version)
         try:
-            changes = await asyncio.gather(*map(self._store.read_change, versions))
+            changes = await asyncio.gather(*map(self._versions.read_change, versions))
             heads = [Head(item.version, item.digest) for item in changes if item]
-            deltas = await asyncio.gather(*map(self._store.read_delta, [*heads, head]))
+            deltas = await asyncio.gather(
+                *map(self._versions.read_delta, [*heads, head])
+            )
             self._applied.apply_deltas(deltas, now_ms)
         except (CatalogueError, CodecError, ObjectNotFound) as error:
             _LOG.warning("deltas do not fit", why=str(error))
             await self._take_in_snapshot(head, now_ms)
 
     async def _take_in_snapshot(self, head, now_ms):
-        data = await self._store.read_snapshot(head)
+        data = await self._versions.read_snapshot(head)
         self._applied.apply_snapshot(head.version, head.digest, data, now_ms)
 
     async def _step_back(self, head, now_ms):
@@ -262,4 +264,4 @@
             if head.version not in self._applied.refused:
                 await self._take_in_snapshot(head, now_ms)
                 continue
-            head = await self._store.read_parent(head)
+            head = await self._versions.read_parent(head)
--- a/packages/node/src/gentianlink/node/membership.py
+++ b/packages/node/src/gentianlink/node/membership.py
@@ -6,6 +6,7 @@
 from gentianlink.core.target_record import TargetRecord
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.node_timers import NodeTimers
+from gentianlink.node.own_refutation import OwnRefutation
 from gentianlink.node.record_buckets import RecordBuckets
 from gentianlink.node.target_records import TargetRecords
 from gentianlink.ops.membership import (
@@ -13,13 +14,9 @@
     compute_node_order,
     compute_target_order,
     is_newer,
-    refute,
 )
 
 DEAD_AFTER_MS = 4000
-REFUTATION_PERIOD_MS = 200
-RIVAL_PERIOD_MAX_MS = 10_000
-REFUTATION_FIRST_MS = float("-inf")
 
 
 class Membership:
@@ -47,9 +44,7 @@
         self._buckets.add_node(own_record)
         self._timers = NodeTimers(dead_after_ms)
         self._sequence = 0
-        self._heard_of_self = None
-        self._refuted_ms = REFUTATION_FIRST_MS
-        self._rival_period_ms = REFUTATION_PERIOD_MS
+        self._refutation = OwnRefutation()
         self._has_left = False
         self._view_changes = 0
         self._changed_services = set()
@@ -161,12 +156,8 @@
         return True
 
     def _hear_of_self(self, record, later):
-        if refute(self._own_record, record) is self._own_record:
+        if self._refutation.hear(self._own_record, record):
             later.append(self._own_record)
-        elif self._heard_of_self is None or is_newer(
-            self._heard_of_self, record, compute_node_order
-        ):
-            self._heard_of_self = record
         return False
 
     def _replace_node(self, known, record, now_ms):
@@ -318,22 +309,11 @@
         self._on_changed([record], [], None)
 
     def _refute_if_due(self, now_ms):
-        heard = self._heard_of_self
-        if heard is None or self._has_left:
+        if self._has_left:
             return
-        if now_ms < self._refuted_ms + self._get_refutation_period_ms(heard):
-            return
-        self._heard_of_self = None
-        self._refuted_ms = now_ms
-        if heard.incarnation > self._own_record.incarnation:
-            doubled_ms = 2 * self._rival_period_ms
-            self._rival_period_ms = min(RIVAL_PERIOD_MAX_MS, doubled_ms)
-        self._state_self(refute(self._own_record, heard), now_ms)
-
-    def _get_refutation_period_ms(self, heard):
-        if heard.incarnation <= self._own_record.incarnation:
-            return REFUTATION_PERIOD_MS
-        return self._rival_period_ms
+        record = self._refutation.take_due(self._own_record, now_ms)
+        if record is not None:
+            self._state_self(record, now_ms)
 
     def check(self, now_ms):
         """Do what the passing of time asks for.
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -37,7 +37,7 @@
 from gentianlink.node.report_collector import ReportCollector
 from gentianlink.node.table_builder import TableBuilder
 from gentianlink.ops.explain import explain_call
-from gentianlink.platform.catalogue_store import CatalogueStore
+from gentianlink.platform.catalogue_reader import CatalogueReader
 from gentianlink.platform.object_client import ObjectClient
 from gentianlink.platform.table_client import TableClient
 
@@ -70,7 +70,7 @@
         own_record = make_own_record(settings, get_now_ms())
         self._platform_table = TableClient.from_settings(settings.platform)
         self._platform_objects = ObjectClient.from_settings(settings.platform)
-        store = CatalogueStore(self._platform_table, self._platform_objects)
+        versions = CatalogueReader(self._platform_table, self._platform_objects)
         self._applied = AppliedCatalogue(self._on_applied, self._on_held)
         self._membership = Membership(
             own_record, self._on_records, settings.mesh.dead_after_ms
@@ -102,7 +102,7 @@
             self._mesh.control_bytes,
         )
         self._reader = HeadReader(
-            store,
+            versions,
             self._applied,
             self._membership,
             settings.mesh,
--- a/packages/node/src/gentianlink/node/test_membership.py
+++ b/packages/node/src/gentianlink/node/test_membership.py
@@ -7,11 +7,10 @@
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.membership import (
     DEAD_AFTER_MS,
-    REFUTATION_PERIOD_MS,
-    RIVAL_PERIOD_MAX_MS,
     Membership,
 )
 from gentianlink.node.node_timers import RECENTLY_DEAD_MS, TOMBSTONE_MS
+from gentianlink.node.own_refutation import REFUTATION_PERIOD_MS, RIVAL_PERIOD_MAX_MS
 
 
 def make_node(node_id, incarnation=100, sequence=1, state=NodeState.ALIVE):
--- a/packages/platform/src/gentianlink/platform/catalogue_store.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_store.py
@@ -1,13 +1,9 @@
-"""The accepted catalogue on the platform: read it, and accept a change."""
-
-import hashlib
+"""Accept a change of the catalogue: it becomes the next version, or nothing happens."""
 
 import attrs
 
-from gentianlink.core.catalogue import Catalogue
 from gentianlink.core.change import Change
-from gentianlink.core.codec import compute_digest, decode, encode
-from gentianlink.core.delta import Delta
+from gentianlink.core.codec import compute_digest, encode
 from gentianlink.core.errors import (
     CatalogueError,
     CatalogueInvalid,
@@ -16,16 +12,15 @@
     ChangeNotAccepted,
     ChangeOutcomeUnknown,
     CodecError,
-    DigestMismatch,
-    ObjectNotFound,
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
     WriteConflict,
 )
 from gentianlink.core.head import Head
-from gentianlink.ops.delta import apply_delta, compute_delta, format_delta
+from gentianlink.ops.delta import compute_delta, format_delta
 from gentianlink.ops.validate_catalogue import validate_catalogue
+from gentianlink.platform.catalogue_reader import CatalogueReader
 from gentianlink.platform.names import (
     HEAD_KEY,
     get_change_id_key,
@@ -39,145 +34,8 @@
 MAX_CHANGES_SHOWN = 50
 
 
-class CatalogueStore:
-    """Catalogue versions kept by the table service and the object store.
-
-    Parameters
-    ----------
-    table : TableClient
-        The table service.
-    objects : ObjectClient
-        The object store.
-    """
-
-    def __init__(self, table, objects):
-        self._table = table
-        self._objects = objects
-
-    async def read_head(self):
-        """Return the head and its row.
-
-        Returns
-        -------
-        head : Head
-            The version accepted last; version 0 if there is none.
-        row : Row
-            The row for a conditional write.
-        """
-        row = await self._table.read(HEAD_KEY)
-        if not row.value:
-            return Head(), row
-        return decode(row.value.encode(), Head), row
-
-    async def read_catalogue(self, head):
-        """Return the whole catalogue of a head.
-
-        Parameters
-        ----------
-        head : Head
-            Version and digest.
-
-        Returns
-        -------
-        Catalogue
-            The catalogue, whose digest was checked.
-
-        Raises
-        ------
-        DigestMismatch
-            If the object is not what the head names.
-        PlatformError
-            If no answer came.
-        """
-        if head.version == 0:
-            return Catalogue()
-        return decode(await self.read_snapshot(head), Catalogue)
-
-    async def read_snapshot(self, head):
-        """Return the encoded catalogue of a head.
-
-        Parameters
-        ----------
-        head : Head
-            Version and digest.
-
-        Returns
-        -------
-        bytes
-            Content whose digest was checked; it may still not decode.
-
-        Raises
-        ------
-        DigestMismatch
-            If the object is not what the head names.
-        PlatformError
-            If no answer came.
-        """
-        name = get_snapshot_name(head.version, head.digest)
-        try:
-            data = await self._objects.get(name)
-        except ObjectNotFound:
-            return encode(await self._rebuild_catalogue(head))
-        if hashlib.sha256(data).hexdigest() != head.digest:
-            raise DigestMismatch(name)
-        return data
-
-    async def _rebuild_catalogue(self, head):
-        """Return a catalogue whose snapshot is missing, from the version before."""
-        parent = await self.read_parent(head)
-        name = get_snapshot_name(parent.version, parent.digest)
-        old = Catalogue()
-        if parent.version:
-            old = decode(await self._objects.get(name), Catalogue)
-        return apply_delta(old, compute_digest(old), await self.read_delta(head))
-
-    async def read_parent(self, head):
-        """Return the head that a version was made against.
-
-        Parameters
-        ----------
-        head : Head
-            Version and digest.
-
-        Returns
-        -------
-        Head
-            The version before; version 0 if there is none.
-
-        Raises
-        ------
-        PlatformError
-            If no answer came.
-        """
-        if head.version <= 1:
-            return Head()
-        change = await self.read_change(head.version)
-        if change is None:
-            raise ObjectNotFound(get_change_key(head.version))
-        return Head(head.version - 1, change.parent_digest)
-
-    async def read_delta(self, head):
-        """Return the delta that led to a head.
-
-        Parameters
-        ----------
-        head : Head
-            Version and digest.
-
-        Returns
-        -------
-        Delta
-            The delta from the version before.
-        """
-        name = get_delta_name(head.version, head.digest)
-        return decode(await self._objects.get(name), Delta)
-
-    async def read_change(self, version):
-        """Return the audit row of a version, None if there is none."""
-        row = await self._table.read(get_change_key(version))
-        if not row.value:
-            return None
-        return decode(row.value.encode(), Change)
+class CatalogueStore(CatalogueReader):
+    """Accepted versions, and the acceptance of new ones."""
 
     async def accept(self, proposed, base, request, now_ms):
         """Accept a change: it becomes the next version, or nothing happens.
@@ -224,29 +82,6 @@
             return await self._commit(change, base, request)
         return _check_same_content(earlier, proposed)
 
-    async def find_change(self, change_id):
-        """Return the change with an id, None if it was not accepted so far.
-
-        Parameters
-        ----------
-        change_id : str
-            Identifier of the change.
-
-        Returns
-        -------
-        Change or None
-            The audit row.
-
-        Raises
-        ------
-        PlatformError
-            If no answer came.
-        """
-        row = await self._table.read(get_change_id_key(change_id))
-        if not row.value:
-            return None
-        return await self.read_change(int(row.value))
-
     async def _prepare(self, proposed, base, request, now_ms):
         head, _ = base
         old = await self.read_catalogue(head)
