--- a/packages/testing/src/gentianlink/testing/test_process_faults.py
+++ b/packages/testing/src/gentianlink/testing/test_process_faults.py
@@ -178,7 +178,7 @@
     await deployment.assert_promises(change, [item.node_id for item in others])
 
 
-async def run_target_stop(deployment):
+async def run_target_stop(deployment, begin_fault=None, end_fault=None):
     await deployment.start()
     leaving = deployment.members[0]
     calls = []
@@ -187,8 +187,13 @@
         work = deployment.call(member, f"before-{number}")
         calls.append(asyncio.ensure_future(work))
     await asyncio.sleep(0.2)
+    if begin_fault is not None:
+        await begin_fault()
     asked_ms = get_now_ms()
     leaving.target.send_signal(signal.SIGTERM)
+    if end_fault is not None:
+        await asyncio.sleep(0.5)
+        await end_fault()
     await asyncio.gather(*calls)
     for number in range(6):
         await deployment.call(deployment.members[number % MEMBERS], f"after-{number}")
@@ -197,8 +202,62 @@
     stop = StopRecord(name, asked_ms, get_now_ms())
     deployment.observations.target_stops.append(stop)
     await deployment.assert_promises()
-    outcomes = {record.outcome for record in deployment.observations.calls}
-    assert outcomes == {"done"}
+
+
+def assert_all_done(deployment, frozen=None):
+    """Check that every call was done, but for those that a frozen node held up."""
+    paths = [deployment.fleet.get_execution_log_path(m) for m in deployment.members]
+    executed_on = {item.request_id: item.target_id for item in read_executions(paths)}
+    for record in deployment.observations.calls:
+        is_held_up = frozen is not None and (
+            record.node_id == frozen.node_id
+            or executed_on.get(record.request_id) == f"target-{frozen.node_id}"
+        )
+        assert record.outcome == "done" or is_held_up, record
+
+
+async def run_target_stop_without_table(deployment):
+    async def fail():
+        await set_faults(deployment.fleet, "table", Faults(down=True))
+
+    async def recover():
+        await set_faults(deployment.fleet, "table")
+
+    await run_target_stop(deployment, fail, recover)
+    assert_all_done(deployment)
+
+
+async def run_target_stop_while_a_node_is_frozen(deployment):
+    frozen = deployment.members[1]
+
+    async def freeze():
+        frozen.node.send_signal(signal.SIGSTOP)
+
+    async def resume():
+        frozen.node.send_signal(signal.SIGCONT)
+
+    await run_target_stop(deployment, freeze, resume)
+    assert_all_done(deployment, frozen)
+
+
+async def run_node_stop(deployment):
+    await deployment.start()
+    leaving, *others = deployment.members
+    calls = [
+        asyncio.ensure_future(deployment.call(others[number % 2], f"call-{number}"))
+        for number in range(12)
+    ]
+    await asyncio.sleep(0.2)
+    await set_faults(deployment.fleet, "table", Faults(down=True))
+    asked_ms = get_now_ms()
+    leaving.node.send_signal(signal.SIGTERM)
+    await asyncio.gather(*calls)
+    assert await asyncio.to_thread(leaving.node.wait) == 0
+    stop = StopRecord(leaving.node_id, asked_ms, get_now_ms())
+    deployment.observations.node_stops.append(stop)
+    await set_faults(deployment.fleet, "table")
+    await deployment.assert_promises()
+    assert_all_done(deployment)
 
 
 class TestProcessFaults:
@@ -227,3 +286,22 @@
     @pytest.mark.proves("own-answer", "none", "drain")
     def test_target_stopped_with_calls_in_flight(self, deployment):
         asyncio.run(run_target_stop(deployment))
+        assert_all_done(deployment)
+
+    @pytest.mark.proves("no-cut", "table-down", "drain")
+    @pytest.mark.proves("no-new-work", "table-down", "drain")
+    @pytest.mark.proves("own-answer", "table-down", "drain")
+    def test_target_stopped_while_the_table_is_down(self, deployment):
+        asyncio.run(run_target_stop_without_table(deployment))
+
+    @pytest.mark.proves("no-cut", "freeze", "drain")
+    @pytest.mark.proves("no-new-work", "freeze", "drain")
+    @pytest.mark.proves("own-answer", "freeze", "drain")
+    def test_target_stopped_while_another_node_is_frozen(self, deployment):
+        asyncio.run(run_target_stop_while_a_node_is_frozen(deployment))
+
+    @pytest.mark.proves("no-cut", "table-down", "stop")
+    def test_node_stopped_with_forwarded_calls_while_the_table_is_down(
+        self, deployment
+    ):
+        asyncio.run(run_node_stop(deployment))
