Judge the long run only after all deployments have ended

Change: all observations are gathered first, the checks run after the loop has ended. Ruled out: a retry of the read, which would hide that the checks block the loop.

--- a/packages/testing/src/gentianlink/testing/soak/__main__.py
+++ b/packages/testing/src/gentianlink/testing/soak/__main__.py
@@ -18,6 +18,7 @@
 from gentianlink.testing.soak.observations import Observations
 from gentianlink.testing.soak.observer import observe_node
 from gentianlink.testing.soak.operator import Operator
+from gentianlink.testing.soak.outcome import Outcome
 from gentianlink.testing.soak.verdict import check_accepted, get_violations
 
 EXAMPLES = pathlib.Path(__file__).parents[6] / "examples"
@@ -69,10 +70,8 @@
 
     Returns
     -------
-    observations : Observations
-        What was seen.
-    violations : list of Violation
-        Broken promises.
+    Outcome
+        What was seen and accepted.
     """
     rng = random.Random(f"{seed} {deployment.region}")
     observations = Observations()
@@ -105,11 +104,39 @@
     changes = await operators[0].read_changes()
     paths = [fleet.get_execution_log_path(member) for member in fleet.members]
     executions = read_executions(paths)
+    accepted = [change for operator in operators for change in operator.accepted]
+    return Outcome(observations, executions, changes, accepted)
+
+
+def judge(deployment, fleet, outcome):
+    """Run all checks over what one deployment gave, and print the result.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    fleet : Fleet
+        Its processes.
+    outcome : Outcome
+        What was seen.
+
+    Returns
+    -------
+    list of Violation
+        Broken promises.
+    """
     node_ids = [member.node_id for member in fleet.members]
-    violations = get_violations(observations, executions, changes, deployment, node_ids)
-    for operator in operators:
-        violations += check_accepted(operator.accepted, changes)
-    _print_report(deployment, observations, executions, changes, violations)
+    violations = get_violations(
+        outcome.observations, outcome.executions, outcome.changes, deployment, node_ids
+    )
+    violations += check_accepted(outcome.accepted, outcome.changes)
+    _print_report(
+        deployment,
+        outcome.observations,
+        outcome.executions,
+        outcome.changes,
+        violations,
+    )
     return violations
 
 
@@ -131,14 +158,13 @@
 
 
 async def run_all(fleets, seconds, rate, seed):
-    """Run all deployments at once and return all violations."""
-    results = await asyncio.gather(
+    """Run all deployments at once and return what each gave."""
+    return await asyncio.gather(
         *(
             run_deployment(deployment, fleet, seconds, rate, seed)
             for deployment, fleet in fleets
         )
     )
-    return [violation for violations in results for violation in violations]
 
 
 def main(minutes: float = 20.0, rate: float = 60.0, seed: int = 1):
@@ -146,7 +172,13 @@
     fleets = [(deployment, start_fleet(deployment)) for deployment in DEPLOYMENTS]
     try:
         seconds = minutes * S_PER_MINUTE
-        violations = asyncio.run(run_all(fleets, seconds, rate, seed))
+        outcomes = asyncio.run(run_all(fleets, seconds, rate, seed))
+        # Only now, as the checks would hold up the deployments that still run.
+        violations = [
+            violation
+            for (deployment, fleet), outcome in zip(fleets, outcomes, strict=True)
+            for violation in judge(deployment, fleet, outcome)
+        ]
     finally:
         for _, fleet in fleets:
             fleet.stop()
