--- a/packages/node/src/gentianlink/node/mesh/server.py
+++ b/packages/node/src/gentianlink/node/mesh/server.py
@@ -16,7 +16,6 @@
 
 _LOG = get_logger("mesh")
 
-SHUTDOWN_GRACE_S = 0.2
 LAST_FRAMES_S = 1.0
 HELLO_TIMEOUT_S = 5.0
 
