Read the operator's table at two nodes of each data centre; the others follow with changes

Cause: on the grown sites a version is 112 KB (1,600 routes, 149 KB on the wire) and takes half a second on a link of 2.5 Mbit/s.

Change: readers.py ranks the nodes of a data centre by link speed; the first two read the table, the others wait at one of them for changes (rule_change.py, rule_codec.py). A reader pauses after a version in proportion to its transfer. Rules are found by host and prefix in one table. The test of targets that hold through a restart waits for readiness now, as callers do: the order of readers is known only with the rows.

--- a/packages/core/src/gentianlink/core/rule_set.py
+++ b/packages/core/src/gentianlink/core/rule_set.py
@@ -13,8 +13,8 @@
     ----------
     version : int
         Place in the order of versions.
-    rules_by_host : dict of str to tuple of Rule
-        Rules of each host, those with the longest prefix first.
+    rules : dict of tuple of str to Rule
+        Rules by host and prefix.
     services : frozenset of str
         Names of the services.
     idle_timeout_ms : float
@@ -22,6 +22,6 @@
     """
 
     version: int
-    rules_by_host: dict[str, tuple[Rule, ...]]
+    rules: dict[tuple[str, str], Rule]
     services: frozenset[str]
     idle_timeout_ms: float
--- a/packages/core/src/gentianlink/core/setting.py
+++ b/packages/core/src/gentianlink/core/setting.py
@@ -13,6 +13,7 @@
 MAX_PORT = 65_535
 NAME_ALLOWED = "1 to 64 letters, digits, '.', '_' or '-', first a letter or digit"
 _WHOLE_NUMBER = re.compile(r"-?[0-9]{1,18}")
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
@@ -70,6 +71,35 @@
     return _make_field(parse, allowed, default, reloadable)
 
 
+def decimal(low, high, default=attrs.NOTHING):
+    """Return a field for a number with or without fractions.
+
+    Parameters
+    ----------
+    low : float
+        Smallest allowed value.
+    high : float
+        Largest allowed value.
+    default : float, optional
+        Value of a missing key.
+
+    Returns
+    -------
+    attrs field
+        Field whose metadata parse and describe the setting.
+    """
+
+    def parse(value):
+        if not _DECIMAL.fullmatch(value):
+            raise ValueError(value)
+        number = float(value)
+        if not low <= number <= high:
+            raise ValueError(value)
+        return number
+
+    return _make_field(parse, f"number from {low} to {high}", default)
+
+
 def text(default=attrs.NOTHING):
     """Return a field for a word without white space.
 
--- a/packages/platform/src/gentianlink/platform/catalogue_codec.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_codec.py
@@ -41,7 +41,10 @@
         idle_s = float(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise CodecError(f"{type(error).__name__}: {error}") from error
-    return RuleSet(version, _group_by_host(rules), services, idle_s * MS_PER_S)
+    places = {}
+    for rule in rules:
+        places.setdefault((rule.host, rule.prefix), rule)
+    return RuleSet(version, places, services, idle_s * MS_PER_S)
 
 
 def _decode_version(text):
@@ -96,10 +99,3 @@
     if not sum(part.weight for part in split) > 0:
         raise ValueError("no weight above 0")
     return split
-
-
-def _group_by_host(rules):
-    groups = {}
-    for rule in sorted(rules, key=lambda rule: len(rule.prefix), reverse=True):
-        groups.setdefault(rule.host, []).append(rule)
-    return {host: tuple(group) for host, group in groups.items()}
--- a/packages/platform/src/gentianlink/platform/test_codecs.py
+++ b/packages/platform/src/gentianlink/platform/test_codecs.py
@@ -49,22 +49,25 @@
 class TestRuleSet:
     def test_fields(self):
         rules = decode_rule_set(encode({}))
-        [rule] = rules.rules_by_host["shop.example"]
+        rule = rules.rules["shop.example", "/a/"]
         assert rules.version == 12
         assert rules.idle_timeout_ms == 15_000
         assert (rule.timeout_ms, rule.target_latency_ms) == (1200, 300)
         assert not rule.is_repeatable
         assert rule.max_targets == 2
 
-    def test_longest_prefix_comes_first(self):
+    def test_rules_are_found_by_host_and_prefix(self):
         rules = decode_rule_set(encode({}, {"name": "r-2", "prefix": "/a/b/"}))
-        prefixes = [rule.prefix for rule in rules.rules_by_host["shop.example"]]
-        assert prefixes == ["/a/b/", "/a/"]
+        assert set(rules.rules) == {("shop.example", "/a/"), ("shop.example", "/a/b/")}
+
+    def test_first_of_two_rules_for_the_same_place_holds(self):
+        rules = decode_rule_set(encode({"name": "r-1"}, {"name": "r-2"}))
+        assert rules.rules["shop.example", "/a/"].name == "r-1"
 
     def test_split(self):
         split = [{"service": "s-1", "weight": 90}, {"service": "s-2", "weight": 10}]
         rules = decode_rule_set(encode({"service": None, "traffic_split": split}))
-        [rule] = rules.rules_by_host["shop.example"]
+        rule = rules.rules["shop.example", "/a/"]
         assert [(part.service, part.weight) for part in rule.split] == [
             ("s-1", 90),
             ("s-2", 10),
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from gentianlink.core.errors import CodecError, PlatformError
+from gentianlink.core.errors import CodecError, HistoryUnavailable, PlatformError
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.peer_codec import decode_record, encode_record
 
@@ -42,6 +42,22 @@
         self._on_found = on_found
         self._changed = asyncio.Event()
         self._written = None
+        self._revision = None
+        self._known = asyncio.Event()
+
+    async def wait_until_known(self, timeout_s):
+        """Wait until this node and the others that have started know each other.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds, for a platform that does not answer.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._known.wait()
+        except TimeoutError:
+            _LOG.warning("other nodes not known in time", waited_s=timeout_s)
 
     def note_change(self):
         """Write the own row soon, if what it tells has changed."""
@@ -55,6 +71,7 @@
         # Read once more after the write: of two nodes that start at the same moment
         # at least one finds the other.
         await self._repeat(self._read, "rows of nodes not read")
+        self._known.set()
         while True:
             await self._changed.wait()
             await asyncio.sleep(WRITE_DELAY_S)
@@ -76,14 +93,25 @@
             await asyncio.sleep(random.uniform(0.5, 1.0) * limit_ms / 1000)
 
     async def _read(self):
-        changes = await self._table.read_all()
+        changes = await self._read_changes()
+        self._revision = changes.revision
         for row in changes.rows:
+            if row.is_removed:
+                continue
             try:
                 self._on_found(decode_record(row.value))
             except CodecError as error:
                 _LOG.warning("row of a node not read", key=row.key, why=str(error))
         _LOG.info("rows of nodes read", rows=len(changes.rows))
 
+    async def _read_changes(self):
+        if self._revision is None:
+            return await self._table.read_all()
+        try:
+            return await self._table.wait_for_changes(self._revision, 0)
+        except HistoryUnavailable:
+            return await self._table.read_all()
+
     async def _write(self):
         own = self._get_own()
         await self._table.transact([(own.node_id, encode_record(own))])
--- a/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
@@ -102,7 +102,7 @@
 
 def _read_record(values):
     node_id, incarnation, sequence, data_centre, *rest = values
-    peer_address, forward_address, is_stopping, target = rest
+    peer_address, forward_address, link_mbps, is_stopping, target = rest
     return PeerRecord(
         node_id=_check(node_id, str),
         incarnation=_check(incarnation, int),
@@ -110,6 +110,7 @@
         data_centre=_check(data_centre, str),
         peer_address=_check(peer_address, str),
         forward_address=_check(forward_address, str),
+        link_mbps=_check(link_mbps, float),
         is_stopping=_check(is_stopping, bool),
         target=None if target is None else _read_target(target),
     )
--- a/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
@@ -8,6 +8,8 @@
 from gentianlink.sidecar.peer_exchange import (
     EXCHANGE_PATH,
     FENCE_PATH,
+    FOLLOW_PATH_PREFIX,
+    FOLLOW_WAIT_S,
     RULES_PATH_PREFIX,
 )
 
@@ -15,9 +17,12 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+# Others may notice that a reader is lost this long before this node does.
+TAKE_OVER_S = 0.4
 
 
-def make_peer_handler(exchange, holder, dispatches, incarnation):
+def make_peer_handler(exchange, holder, feed, dispatches, incarnation):
     """Return the handler of the requests of other nodes.
 
     Parameters
@@ -26,6 +31,8 @@
         Answers exchanges of state.
     holder : RuleHolder
         Has the catalogue version in force.
+    feed : RuleFeed
+        Knows whether this node reads the operator's table.
     dispatches : DispatchLog
         Knows which calls were sent to the target.
     incarnation : int
@@ -34,16 +41,17 @@
     Returns
     -------
     callable
-        Takes method, path and body and returns a Reply.
+        Takes method, path and body and returns a Reply, or a coroutine of one.
     """
 
     def handle(method, path, body):
         if path == EXCHANGE_PATH:
             return exchange.answer_exchange(body)
         if path.startswith(RULES_PATH_PREFIX):
-            version = path.removeprefix(RULES_PATH_PREFIX)
-            is_newer = version.isdigit() and holder.version > int(version)
-            return Reply(body=holder.data if is_newer else b"")
+            version = _parse_version(path, RULES_PATH_PREFIX)
+            return Reply(body=holder.encode_since(version))
+        if path.startswith(FOLLOW_PATH_PREFIX):
+            return _follow(holder, feed, _parse_version(path, FOLLOW_PATH_PREFIX))
         if path == FENCE_PATH:
             return _fence(dispatches, incarnation, body)
         return Reply(STATUS_NOT_FOUND)
@@ -51,6 +59,20 @@
     return handle
 
 
+def _parse_version(path, prefix):
+    version = path.removeprefix(prefix)
+    return int(version) if version.isdigit() else 0
+
+
+async def _follow(holder, feed, version):
+    # This node may not know yet that it has to read the table for the others.
+    wait_s = FOLLOW_WAIT_S if feed.is_reading else TAKE_OVER_S
+    is_newer = await holder.wait_for_newer(version, wait_s)
+    if not is_newer and not feed.is_reading:
+        return Reply(STATUS_UNAVAILABLE)
+    return Reply(body=holder.encode_since(version))
+
+
 def _fence(dispatches, incarnation, body):
     try:
         question = orjson.loads(body)
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from gentianlink.core.errors import CodecError, PlatformError
+from gentianlink.core.errors import CodecError, PlatformError, PlatformUnavailable
 from gentianlink.node.background import start_task
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
@@ -18,6 +18,7 @@
 
 EXCHANGE_PATH = "/exchange"
 RULES_PATH_PREFIX = "/rules/"
+FOLLOW_PATH_PREFIX = "/follow/"
 FENCE_PATH = "/fence"
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
@@ -26,6 +27,12 @@
 LOST_PERIOD_MS = 700.0
 LOST_GROWTH = 1.3
 MAX_LOST_PERIOD_MS = 5000.0
+# A node that follows another waits there for so long; then it knows that the other is
+# well.
+FOLLOW_WAIT_S = 1.0
+FOLLOW_TIMEOUT_MS = 1500
+# Nodes that are asked for a version one after another.
+MAX_ASKED = 4
 # Changes within this time go out together.
 PUSH_DELAY_MS = 5.0
 
@@ -205,7 +212,7 @@
         return [record for record in records if record.node_id != node_id]
 
     async def fetch_rules(self, version):
-        """Return a newer catalogue version than this node has, from another node.
+        """Return the change to a newer version than this node has, from any node.
 
         Parameters
         ----------
@@ -215,24 +222,53 @@
         Returns
         -------
         bytes or None
-            The version as the operator wrote it, None if no node gave one.
+            Encoded change, None if no node gave one.
         """
         holders = self._directory.get_holders(version + 1)
         # Without news of a newer version, one node is asked whether it has one.
-        for record in holders or self._directory.get_holders(0)[:1]:
-            link = self._links.get(record.peer_address)
-            if link is None:
-                continue
-            path = f"{RULES_PATH_PREFIX}{version}"
+        holders = holders or self._directory.get_holders(0)[:1]
+        for record in holders[:MAX_ASKED]:
             try:
-                answer = await link.connections.send("GET", path)
+                change = await self._ask(record, f"{RULES_PATH_PREFIX}{version}")
             except PlatformError as error:
                 self._directory.note_lost(record.node_id, f"rules: {error}")
                 continue
-            if answer.code == STATUS_OK and answer.body:
-                return answer.body
+            if change:
+                return change
         return None
 
+    async def follow_rules(self, record, version):
+        """Wait at a node for a newer version than this node has.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The node.
+        version : int
+            Version in force at this node.
+
+        Returns
+        -------
+        bytes
+            Encoded change, empty if there was no newer version in time.
+
+        Raises
+        ------
+        PlatformError
+            If the node does not answer or has lost the table service.
+        """
+        path = f"{FOLLOW_PATH_PREFIX}{version}"
+        return await self._ask(record, path, FOLLOW_TIMEOUT_MS)
+
+    async def _ask(self, record, path, timeout_ms=None):
+        link = self._links.get(record.peer_address)
+        if link is None:
+            raise PlatformUnavailable(f"no way to {record.node_id}")
+        answer = await link.connections.send("GET", path, timeout_ms=timeout_ms)
+        if answer.code != STATUS_OK:
+            raise PlatformUnavailable(f"status {answer.code}")
+        return answer.body
+
     async def fence(self, node_id, incarnation, request_id):
         """Ask a node to make sure that a call is never sent to its target.
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_record.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_record.py
@@ -23,6 +23,8 @@
         Address for the exchange of state.
     forward_address : str
         Address for calls to its target.
+    link_mbps : float
+        Speed of its link in megabits a second.
     is_stopping : bool
         Whether the process is about to end and wants no new calls.
     target : TargetInfo or None
@@ -35,6 +37,7 @@
     data_centre: str
     peer_address: str
     forward_address: str
+    link_mbps: float = 0.0
     is_stopping: bool = False
     target: TargetInfo | None = None
 
--- a/packages/sidecar/src/gentianlink/sidecar/settings.py
+++ b/packages/sidecar/src/gentianlink/sidecar/settings.py
@@ -7,6 +7,7 @@
 from gentianlink.core.setting import (
     MAX_PORT,
     boolean,
+    decimal,
     endpoint,
     integer,
     ip_address,
@@ -27,6 +28,8 @@
     region: str = name()
     data_centre: str = name()
     address: str = ip_address()
+    # Speed of the link in megabits a second.
+    link_mbps: float = decimal(0.01, 1e6)
 
 
 @attrs.frozen
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -30,6 +30,7 @@
 from gentianlink.sidecar.peer_endpoint import make_peer_handler
 from gentianlink.sidecar.peer_exchange import PeerExchange
 from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.readers import Readers
 from gentianlink.sidecar.retry_share import RetryShare
 from gentianlink.sidecar.rule_feed import RuleFeed
 from gentianlink.sidecar.rule_holder import RuleHolder
@@ -44,6 +45,8 @@
 CONNECT_TIMEOUT_MS = 300
 SWEEP_PERIOD_S = 0.5
 VERSION_CHECK_S = 0.1
+# Reading and writing rows takes some ten milliseconds when the platform is well.
+MAX_ROWS_WAIT_S = 0.5
 # Callers ask once a second whether a node is ready and need two answers.
 STOP_ACCEPTING_S = 3.0
 # Left of the time between the request to stop and the kill, for the last writes.
@@ -82,6 +85,7 @@
             data_centre=node.data_centre,
             peer_address=settings.peer_address,
             forward_address=settings.listen.forwards,
+            link_mbps=node.link_mbps,
         )
         self._directory = PeerDirectory(own)
         self._load_view = LoadView()
@@ -106,7 +110,11 @@
             self._nodes_table, lambda: self._directory.own, self._take_row
         )
         self._feed = RuleFeed(
-            self._operator_table, self._holder, self._fetch_rules_from_peer
+            self._operator_table,
+            self._holder,
+            Readers(self._directory),
+            self._exchange,
+            node.link_mbps,
         )
         self._pool = ConnectionPool(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS)
         self._dispatches = DispatchLog()
@@ -173,8 +181,10 @@
         if record.target is not None:
             self._beside.take_former(record.target, get_monotonic_ms())
 
-    async def _fetch_rules_from_peer(self):
-        return await self._exchange.fetch_rules(self._holder.version)
+    async def _follow_rules(self):
+        # The order of readers is known only with the other nodes.
+        await self._rows.wait_until_known(MAX_ROWS_WAIT_S)
+        await self._feed.run()
 
     async def run(self, stop_requested, listener=None):
         """Run until asked to stop, then stop without cutting a call.
@@ -188,7 +198,7 @@
         """
         self._listen(listener)
         for work in (
-            self._feed.run(),
+            self._follow_rules(),
             self._feed.run_peers(self._directory.get_newest_version, VERSION_CHECK_S),
             self._rows.run(),
             run_periodically(self._sweep, SWEEP_PERIOD_S),
@@ -213,6 +223,7 @@
         peer_handler = make_peer_handler(
             self._exchange,
             self._holder,
+            self._feed,
             self._dispatches,
             self._directory.own.incarnation,
         )
@@ -290,6 +301,11 @@
         """Catalogue version in force, 0 before the first one."""
         return self._holder.version
 
+    @property
+    def is_reading(self):
+        """Whether this node reads the operator's table for others."""
+        return self._feed.is_reading
+
     def count_known_targets(self):
         """Return how many targets this node knows."""
         return len(self._get_targets())
--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -349,6 +349,7 @@
             second.start()
             await world.wait_until(lambda: second.sidecar.count_ready_targets() == 1)
             await world.wait_until(lambda: second.sidecar.count_known_targets() == 2)
+            await world.wait_until(lambda: second.sidecar.is_ready)
             assert await first.send_heartbeat("ready") == 200
             for number in range(5):
                 answer = await second.call("/read/1", f"id-{number}")
@@ -443,6 +444,34 @@
 
         run(work, ("inquiry",))
 
+    def test_versions_reach_nodes_that_do_not_read_the_table(self):
+        async def work(world):
+            sidecars = [node.sidecar for node in world.nodes]
+            await world.wait_until(lambda: sum(s.is_reading for s in sidecars) == 2)
+            # A fast series, as operators send it in a hurry.
+            for version in range(2, 12):
+                world.write_catalogue(version, RULES)
+                await asyncio.sleep(0.02)
+            await world.wait_until(lambda: all(s.version == 11 for s in sidecars), 2.0)
+            assert sum(s.is_reading for s in sidecars) == 2
+
+        run(work, ("inquiry",) * 5)
+
+    def test_other_nodes_read_when_the_readers_are_gone(self):
+        async def work(world):
+            sidecars = [node.sidecar for node in world.nodes]
+            await world.wait_until(lambda: sum(s.is_reading for s in sidecars) == 2)
+            readers = [n for n in world.nodes if n.sidecar.is_reading]
+            others = [n for n in world.nodes if n not in readers]
+            for node in readers:
+                await node.kill()
+            world.write_catalogue(2, RULES)
+            await world.wait_until(
+                lambda: all(n.sidecar.version == 2 for n in others), 2.0
+            )
+
+        run(work, ("inquiry",) * 5)
+
     def test_lost_history_is_made_up_for_by_reading_again(self):
         async def work(world):
             await asyncio.sleep(0.05)
--- a/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
@@ -53,7 +53,7 @@
     retry_ratio=0.2, retry_window_ms=10_000.0, retry_extra=60.0, grace_ms=6000.0
 )
 INFO = TargetInfo("i-1", SERVICE, 4, TargetState.READY, 1000, 7)
-RECORD = PeerRecord("node-1", 5, 2, "a", "10.0.0.1:1", "10.0.0.1:2", False, INFO)
+RECORD = PeerRecord("node-1", 5, 2, "a", "10.0.0.1:1", "10.0.0.1:2", 2.5, False, INFO)
 
 
 def make_split(*weights):
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rules.py
@@ -0,0 +1,203 @@
+"""Versions of the catalogue between nodes: changes, look-up, who reads the table."""
+
+import asyncio
+
+import attrs
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianlink.core.errors import CodecError
+from gentianlink.core.rule import Rule
+from gentianlink.core.rule_set import RuleSet
+from gentianlink.core.service_weight import ServiceWeight
+from gentianlink.sidecar.peer_directory import PeerDirectory
+from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.readers import READERS, SUSPEND_MS, Readers
+from gentianlink.sidecar.rule_change import EMPTY_RULES, apply_change, compute_change
+from gentianlink.sidecar.rule_codec import decode_change, encode_change
+from gentianlink.sidecar.rule_feed import MAX_PAUSE_S, compute_pause_s
+from gentianlink.sidecar.rule_holder import KEPT_VERSIONS, RuleHolder, find_rule
+from gentianlink.testing.sidecar_world import encode_catalogue, make_rule
+
+PLACES = st.tuples(st.sampled_from("ab"), st.sampled_from(["/", "/x/", "/x/y/", "/z/"]))
+RULES = st.builds(
+    Rule,
+    name=st.sampled_from("rst"),
+    host=st.just("h"),
+    prefix=st.just("/"),
+    is_repeatable=st.booleans(),
+    timeout_ms=st.sampled_from([500.0, 1000.0]),
+    target_latency_ms=st.just(100.0),
+    priority=st.integers(0, 2),
+    max_targets=st.integers(1, 3),
+    split=st.just((ServiceWeight("s", 1.0),)),
+)
+
+
+def make_rule_set(version, rules):
+    placed = {
+        (host, prefix): attrs.evolve(rule, host=host, prefix=prefix)
+        for (host, prefix), rule in rules.items()
+    }
+    return RuleSet(version, placed, frozenset(["s"]), 15_000.0)
+
+
+class TestRuleChange:
+    @given(st.dictionaries(PLACES, RULES), st.dictionaries(PLACES, RULES))
+    def test_change_gives_the_later_version(self, old, new):
+        before, after = make_rule_set(3, old), make_rule_set(7, new)
+        change = decode_change(encode_change(compute_change(before, after)))
+        assert apply_change(before, change) == after
+
+    def test_rules_that_stay_are_not_sent(self):
+        rules = [make_rule(f"r-{i}", f"/r{i}/", "inquiry") for i in range(1600)]
+        holder = RuleHolder()
+        holder.take(encode_catalogue(1, rules), "test")
+        rules[7] = make_rule("r-7", "/r7/", "registry")
+        holder.take(encode_catalogue(2, rules), "test")
+        assert len(holder.encode_since(1)) < 250
+        assert len(holder.encode_since(0)) > 1600
+
+    @pytest.mark.parametrize(
+        "data",
+        [b"", b"[]", b"x", encode_change(compute_change(EMPTY_RULES, EMPTY_RULES))[:9]],
+    )
+    def test_other_bytes_are_a_typed_error(self, data):
+        with pytest.raises(CodecError):
+            decode_change(data)
+
+
+class TestRuleHolder:
+    def make_holder(self, *versions):
+        holder = RuleHolder()
+        for version in versions:
+            rules = [make_rule("r", f"/v{version}/", "inquiry")]
+            holder.take(encode_catalogue(version, rules), "test")
+        return holder
+
+    def test_node_far_behind_gets_the_whole_version(self):
+        source = self.make_holder(*range(1, KEPT_VERSIONS + 5))
+        target = self.make_holder(1)
+        assert target.take_change(source.encode_since(1), "test")
+        assert target.rules == source.rules
+
+    def test_change_to_a_version_that_is_not_held_changes_nothing(self):
+        source = self.make_holder(4, 6)
+        target = self.make_holder(3)
+        assert not target.take_change(source.encode_since(4), "test")
+        assert (target.version, target.refused) == (3, 1)
+
+    def test_older_version_is_never_taken(self):
+        source = self.make_holder(4, 6)
+        target = self.make_holder(4, 8)
+        assert not target.take_change(source.encode_since(4), "test")
+        assert target.version == 8
+
+    def test_waiters_are_told_of_a_newer_version(self):
+        async def play():
+            holder = self.make_holder(1)
+            waiter = asyncio.create_task(holder.wait_for_newer(1, 5.0))
+            await asyncio.sleep(0)
+            holder.take(encode_catalogue(2, []), "test")
+            assert await waiter
+            assert not await holder.wait_for_newer(2, 0.01)
+
+        asyncio.run(play())
+
+
+class TestFindRule:
+    @pytest.mark.parametrize(
+        ("path", "name"),
+        [
+            ("/a/b/c", "deep"),
+            ("/a/b/", "deep"),
+            ("/a/b", "shallow"),
+            ("/a/x/y/z", "shallow"),
+            ("/ab/", None),
+            ("/", None),
+        ],
+    )
+    def test_longest_prefix_holds(self, path, name):
+        holder = RuleHolder()
+        rules = [make_rule("shallow", "/a/", "inquiry")]
+        rules.append(make_rule("deep", "/a/b/", "inquiry"))
+        holder.take(encode_catalogue(1, rules), "test")
+        rule = find_rule(holder.rules, "Shop.example:80", path)
+        assert (None if rule is None else rule.name) == name
+
+
+class TestReaders:
+    """Pattern: many nodes on slow links, and a few on fast ones."""
+
+    def make(self, own_name, links, places=None):
+        records = {
+            name: PeerRecord(
+                name, 1, 0, (places or {}).get(name, "a"), name, name, mbps
+            )
+            for name, mbps in links.items()
+        }
+        directory = PeerDirectory(records.pop(own_name))
+        for record in records.values():
+            directory.take(record, 0.0)
+        return Readers(directory), directory
+
+    def list_readers(self, links, lost=(), suspended=()):
+        reading = set()
+        for name in links:
+            readers, directory = self.make(name, links)
+            for other in lost:
+                directory.note_lost(other, "test")
+            for other in suspended:
+                readers.suspend(other, 0.0)
+            if readers.choose(0.0) is None:
+                reading.add(name)
+        return reading
+
+    def test_nodes_on_the_fastest_links_read(self):
+        links = {f"n-{i}": 2.5 for i in range(9)} | {"n-x": 50.0, "n-y": 50.0}
+        assert self.list_readers(links) == {"n-x", "n-y"}
+
+    def test_next_ones_take_over(self):
+        links = {f"n-{i}": 2.5 for i in range(9)}
+        assert self.list_readers(links) == {"n-0", "n-1"}
+        live = self.list_readers(links, suspended=("n-0", "n-1"))
+        assert live == {"n-0", "n-1", "n-2", "n-3"}
+
+    def test_followers_are_spread_over_the_readers(self):
+        links = {f"n-{i:02}": 2.5 for i in range(30)}
+        followed = [self.make(name, links)[0].choose(0.0) for name in links]
+        names = {record.node_id for record in followed if record}
+        assert names == {"n-00", "n-01"}
+
+    def test_each_data_centre_has_readers_of_its_own(self):
+        links = {f"n-{i}": 2.5 for i in range(6)}
+        places = {f"n-{i}": "ab"[i % 2] for i in range(6)}
+        chosen = [self.make(name, links, places)[0].choose(0.0) for name in links]
+        assert chosen.count(None) == 2 * READERS
+        assert all(r.data_centre == places[f"n-{i}"] for i, r in enumerate(chosen) if r)
+
+    def test_suspended_reader_is_asked_again(self):
+        links = {f"n-{i}": 2.5 for i in range(3)}
+        readers, _ = self.make("n-2", links)
+        followed = readers.choose(0.0)
+        readers.suspend(followed.node_id, 0.0)
+        assert readers.choose(1.0) is None
+        assert readers.choose(SUSPEND_MS + 1.0) == followed
+
+
+class TestPause:
+    """Pattern: a fast series of large versions over a slow link."""
+
+    def test_slow_link_is_left_to_calls_most_of_the_time(self):
+        assert compute_pause_s(112_000, 2.5) == MAX_PAUSE_S
+        assert 0.04 < compute_pause_s(112_000, 50.0) < 0.1
+
+    def test_pause_is_shorter_than_the_time_in_which_a_version_is_due(self):
+        assert compute_pause_s(10**9, 2.5) < 1.0
+
+
+def test_encoded_change_is_small_json():
+    change = compute_change(EMPTY_RULES, make_rule_set(3, {}))
+    assert orjson.dumps(attrs.astuple(change)) == b'[0,3,[],[],["s"],15000.0]'
--- a/packages/testing/src/gentianlink/testing/sidecar_world.py
+++ b/packages/testing/src/gentianlink/testing/sidecar_world.py
@@ -21,12 +21,14 @@
 STARTED_MS = 1_700_000_000_000
 DEADLINE_MS = 2000
 SLOTS = 4
+LINK_MBPS = 100.0
 SETTINGS = """
 [node]
 id = {node_id}
 region = south
 data_centre = {data_centre}
 address = {host}
+link_mbps = {link_mbps}
 
 [listen]
 calls = {calls}
@@ -130,6 +132,7 @@
             "service": service,
             "platform": platform_url,
             "data_centre": data_centre,
+            "link_mbps": LINK_MBPS,
         }
         self.target = ScriptedTarget(
             f"target-{number}", service, self._fields["target"]
