--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -1,7 +1,5 @@
 """Relay a target's answer to the caller as it arrives."""
 
-from tornado.httputil import HTTPMessageDelegate
-
 from gentianlink.core import headers as names
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
@@ -9,14 +7,13 @@
 from gentianlink.node.proxy.answer_writer import mark_done, strip_headers
 from gentianlink.node.proxy.errors import CallerGone
 from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.node.proxy.relayed_answer import RelayedAnswer
 
-FIRST_FINAL_STATUS = 200
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
 STATUSES_OF_SHEDDING = frozenset((429, 503))
 MAX_RETRY_AFTER_MS = 600_000
 
 
-class AnswerRelay(HTTPMessageDelegate):
+class AnswerRelay(RelayedAnswer):
     """Reads an answer and writes it to the caller with back-pressure.
 
     The headers wait for the first part of the body, so that a small answer is one
@@ -40,22 +37,16 @@
     def __init__(
         self, writer, version, is_head=False, read_refusal=None, get_free_slots=None
     ):
-        self._writer = writer
         self._version = version
-        self._is_head = is_head
         self._read_refusal = read_refusal or read_target_refusal
         self._get_free_slots = get_free_slots
-        self._status = 0
-        self._headers = None
+        super().__init__(writer, is_head)
+
+    def reset(self):
+        """Forget an answer that belongs to another call."""
+        super().reset()
         self._refusal = None
-        self._is_finished = False
-        self._is_bad = False
-        self._is_abandoned = False
-        self._is_writing = False
-        self._on_finish = None
         self._free_slots = None
-        self._is_kept_open = False
-        self.progress_ms = 0.0
 
     @property
     def is_foreign(self):
@@ -67,35 +58,10 @@
         """Whether the end of the connection ends the answer; never allowed here."""
         return False
 
-    @property
-    def is_begun(self):
-        """Whether a part of the answer arrived."""
-        return self._headers is not None
-
-    @property
-    def is_finished(self):
-        """Whether the whole answer arrived."""
-        return self._is_finished
-
-    @property
-    def is_kept_open(self):
-        """Whether the other end keeps the connection open after the answer."""
-        return self._is_kept_open
-
     @property
     def is_bad(self):
         """Whether the end of the answer can't be told from a cut."""
-        return self._is_bad
-
-    @property
-    def is_abandoned(self):
-        """Whether the caller closed its connection, so that nobody reads on."""
-        return self._is_abandoned
-
-    @property
-    def is_writing(self):
-        """Whether the caller has yet to take a part of the answer."""
-        return self._is_writing
+        return not self._has_length
 
     @property
     def refusal(self):
@@ -112,41 +78,15 @@
         """Free slots that the other end reported; None if it did not."""
         return self._free_slots
 
-    @property
-    def status(self):
-        """Status of the answer; 0 before it began."""
-        return self._status
-
-    @property
-    def headers(self):
-        """Headers of the answer."""
-        return self._headers
-
-    def set_finish_callback(self, callback):
-        """Set what is called when the whole answer arrived."""
-        self._on_finish = callback
-
-    def headers_received(self, start_line, headers):
-        """Take the status line and the headers."""
-        self.progress_ms = get_monotonic_ms()
-        if start_line.code < FIRST_FINAL_STATUS:
-            return
-        self._status = start_line.code
-        self._is_bad = not self._has_known_end(headers)
-        self._headers = headers
-        self._is_kept_open = headers.get("Connection", "").lower() != "close"
-        self._refusal = self._read_refusal(start_line.code, headers)
-        self._free_slots = read_number(headers, names.FREE_SLOTS)
-
-    def _has_known_end(self, headers):
-        if self._is_head or self._status in STATUSES_WITHOUT_BODY:
-            return True
-        return "Content-Length" in headers or "Transfer-Encoding" in headers
+    def judge(self):
+        """Decide by status and headers what the answer is."""
+        self._refusal = self._read_refusal(self._status, self._headers)
+        self._free_slots = read_number(self._headers, names.FREE_SLOTS)
 
     async def data_received(self, chunk):
         """Relay a part of the body and wait until the caller has taken it."""
         self.progress_ms = get_monotonic_ms()
-        if self._refusal is not None or self._is_bad or self._is_abandoned:
+        if self._refusal is not None or self.is_bad or self._is_abandoned:
             return
         self._is_writing = True
         try:
@@ -176,12 +116,6 @@
         self._mark_done()
         await self._writer.start(self._status, self._headers, chunk)
 
-    def finish(self):
-        """Note that the whole answer arrived."""
-        self._is_finished = True
-        if self._on_finish is not None:
-            self._on_finish()
-
     async def end(self):
         """End the caller's answer after the whole answer arrived."""
         if not self._writer.is_started:
--- a/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
@@ -1,19 +1,19 @@
 """Take an answer whole before it is relayed, or stream it if it is large."""
 
-from tornado.httputil import HTTPMessageDelegate
-
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_writer import strip_headers
 from gentianlink.node.proxy.errors import CallerGone
+from gentianlink.node.proxy.relayed_answer import (
+    STATUSES_WITHOUT_BODY,
+    RelayedAnswer,
+)
 
-FIRST_FINAL_STATUS = 200
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Answers up to this size are relayed only when they are whole, so that a broken one
 # can be asked for again.
 BUFFER_BYTES = 256 * 1024
 
 
-class AnswerBuffer(HTTPMessageDelegate):
+class AnswerBuffer(RelayedAnswer):
     """Reads one answer of a target or of the node beside it.
 
     Parameters
@@ -29,36 +29,16 @@
     """
 
     def __init__(self, writer, classify, edit_headers, is_head=False):
-        self._writer = writer
         self._classify = classify
         self._edit_headers = edit_headers
-        self._is_head = is_head
-        self._on_finish = None
-        self._is_abandoned = False
-        self._is_writing = False
-        self.progress_ms = 0.0
-        self.reset()
+        super().__init__(writer, is_head)
 
     def reset(self):
         """Forget an answer that belongs to another call."""
-        self._status = 0
-        self._headers = None
+        super().reset()
         self._verdict = None
         self._chunks = []
         self._size_bytes = 0
-        self._is_finished = False
-        self._has_length = True
-        self._is_kept_open = False
-
-    @property
-    def status(self):
-        """Status of the answer; 0 before it began."""
-        return self._status
-
-    @property
-    def headers(self):
-        """Headers of the answer."""
-        return self._headers
 
     @property
     def verdict(self):
@@ -85,50 +65,9 @@
         """Whether only the end of the connection ends the answer."""
         return not self._has_length
 
-    @property
-    def is_begun(self):
-        """Whether a part of the answer arrived."""
-        return self._headers is not None
-
-    @property
-    def is_finished(self):
-        """Whether the whole answer arrived."""
-        return self._is_finished
-
-    @property
-    def is_kept_open(self):
-        """Whether the other end keeps the connection open after the answer."""
-        return self._is_kept_open and self._has_length
-
-    @property
-    def is_abandoned(self):
-        """Whether the caller closed its connection, so that nobody reads on."""
-        return self._is_abandoned
-
-    @property
-    def is_writing(self):
-        """Whether the caller has yet to take a part of the answer."""
-        return self._is_writing
-
-    def set_finish_callback(self, callback):
-        """Set what is called when the whole answer arrived."""
-        self._on_finish = callback
-
-    def headers_received(self, start_line, headers):
-        """Take the status line and the headers."""
-        self.progress_ms = get_monotonic_ms()
-        if start_line.code < FIRST_FINAL_STATUS:
-            return
-        self._status = start_line.code
-        self._headers = headers
-        self._has_length = (
-            self._is_head
-            or self._status in STATUSES_WITHOUT_BODY
-            or "Content-Length" in headers
-            or "Transfer-Encoding" in headers
-        )
-        self._is_kept_open = headers.get("Connection", "").lower() != "close"
-        self._verdict = self._classify(self._status, headers)
+    def judge(self):
+        """Decide by status and headers what the answer is."""
+        self._verdict = self._classify(self._status, self._headers)
 
     async def data_received(self, chunk):
         """Keep a part of the body, or relay it if the answer is large."""
@@ -149,12 +88,6 @@
             self._is_writing = False
             self.progress_ms = get_monotonic_ms()
 
-    def finish(self):
-        """Note that the whole answer arrived."""
-        self._is_finished = True
-        if self._on_finish is not None:
-            self._on_finish()
-
     async def deliver(self):
         """Give the caller what it does not have of the answer yet.
 
--- a/packages/sidecar/src/gentianlink/sidecar/endpoints_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/endpoints_server.py
@@ -11,8 +11,6 @@
 
 from gentianlink.node.background import start_task
 
-STATUS_NOT_FOUND = 404
-
 
 @attrs.frozen
 class Reply:
--- a/packages/sidecar/src/gentianlink/sidecar/priority_gate.py
+++ b/packages/sidecar/src/gentianlink/sidecar/priority_gate.py
@@ -106,10 +106,6 @@
         for waiter in waiting:
             _set_result(waiter, Refusal(reason, retry_after_ms=DRAIN_RETRY_MS))
 
-    def open(self):
-        """Take calls again."""
-        self._closed = None
-
     async def enter(self, hop, deadline_ms, now_ms):
         """Take a slot, waiting for one if the call may.
 
