--- /dev/null
+++ b/packages/node/src/gentianlink/node/proxy/relayed_answer.py
@@ -0,0 +1,102 @@
+"""State of an answer that is read from one side and written to the caller."""
+
+from tornado.httputil import HTTPMessageDelegate
+
+from gentianlink.node.clock import get_monotonic_ms
+
+FIRST_FINAL_STATUS = 200
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
+
+class RelayedAnswer(HTTPMessageDelegate):
+    """What has arrived of one answer, and how far the caller has taken it.
+
+    Parameters
+    ----------
+    writer : AnswerWriter
+        The caller's side.
+    is_head : bool
+        Whether the call has the method HEAD, so that no body follows.
+    """
+
+    def __init__(self, writer, is_head):
+        self._writer = writer
+        self._is_head = is_head
+        self._on_finish = None
+        self._is_abandoned = False
+        self._is_writing = False
+        self.progress_ms = 0.0
+        self.reset()
+
+    def reset(self):
+        """Forget an answer that belongs to another call."""
+        self._status = 0
+        self._headers = None
+        self._is_finished = False
+        self._has_length = True
+        self._is_kept_open = False
+
+    @property
+    def status(self):
+        """Status of the answer; 0 before it began."""
+        return self._status
+
+    @property
+    def headers(self):
+        """Headers of the answer."""
+        return self._headers
+
+    @property
+    def is_begun(self):
+        """Whether a part of the answer arrived."""
+        return self._headers is not None
+
+    @property
+    def is_finished(self):
+        """Whether the whole answer arrived."""
+        return self._is_finished
+
+    @property
+    def is_kept_open(self):
+        """Whether the other end keeps the connection open after the answer."""
+        return self._is_kept_open and self._has_length
+
+    @property
+    def is_abandoned(self):
+        """Whether the caller closed its connection, so that nobody reads on."""
+        return self._is_abandoned
+
+    @property
+    def is_writing(self):
+        """Whether the caller has yet to take a part of the answer."""
+        return self._is_writing
+
+    def set_finish_callback(self, callback):
+        """Set what is called when the whole answer arrived."""
+        self._on_finish = callback
+
+    def headers_received(self, start_line, headers):
+        """Take the status line and the headers."""
+        self.progress_ms = get_monotonic_ms()
+        if start_line.code < FIRST_FINAL_STATUS:
+            return
+        self._status = start_line.code
+        self._headers = headers
+        self._has_length = (
+            self._is_head
+            or self._status in STATUSES_WITHOUT_BODY
+            or "Content-Length" in headers
+            or "Transfer-Encoding" in headers
+        )
+        self._is_kept_open = headers.get("Connection", "").lower() != "close"
+        self.judge()
+
+    def judge(self):
+        """Decide by status and headers what the answer is."""
+        raise NotImplementedError
+
+    def finish(self):
+        """Note that the whole answer arrived."""
+        self._is_finished = True
+        if self._on_finish is not None:
+            self._on_finish()
