After three full targets a call waits at the best one it knows

Cause: on the grown sites a node knows the load of few of the 25 targets of a service; the others look free. The own target's load was taken from the own calls alone.

Change: choose_target waits at the target with the shortest known wait once MAX_FULL targets were full; full ones may be chosen again. The own load is the gate's. What a call has seen is CallProgress now, so that the new deployment_model plays the same decisions.

--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -12,31 +12,23 @@
     MAX_IDLE_NON_REPEATABLE_MS,
 )
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
-from gentianlink.node.proxy.refusal import Refusal, combine_refusals
+from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
 from gentianlink.sidecar.answer_buffer import AnswerBuffer
-from gentianlink.sidecar.choose import choose_target
+from gentianlink.sidecar.call_progress import REASONS_OF_ARRIVED, CallProgress
 from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop, parse_result
 from gentianlink.sidecar.send_call import send_call
 from gentianlink.sidecar.verdict import ANSWER, BAD, Verdict
 
 _LOG = get_logger("router")
 
-NO_TARGET_RETRY_MS = 300
 RETRY_AFTER_MS = 100
-# Nodes that one call may ask for a slot; each answers within a few milliseconds.
-MAX_TRIES = 6
-# A call that may not wait at so many targets tries another only if the wait there
-# looks shorter by this factor; the way there has a price.
-MAX_WAIT_REFUSALS = 2
-SHORTER_WAIT = 0.7
 # A target may work in silence up to the deadline; keep-alive probes tell a connection
 # that has gone silent.
 MAX_SILENCE_MS = 30_000
 # Calls in less time than this can't be executed once more.
 MIN_RETRY_MS = 30.0
 
-REASONS_OF_ARRIVED = (Reason.TARGET_SHED,)
 FAILURE_KINDS = {
     Reason.TARGET_UNREACHABLE: FailureKind.REFUSED,
     Reason.TARGET_LOST: FailureKind.RESET,
@@ -44,19 +36,6 @@
 }
 
 
-@attrs.define
-class _Progress:
-    """What became of a call so far."""
-
-    refusal: Refusal
-    tried: set = attrs.field(factory=set)
-    sent: int = 0
-    tries: int = 0
-    refused_wait_ms: float | None = None
-    wait_refusals: int = 0
-    retry_after_ms: list = attrs.field(factory=list)
-
-
 class CallRouter:
     """Sends the calls that arrive at this node on their way.
 
@@ -129,36 +108,37 @@
             None if an answer was relayed whole.
         """
         self._retries.record_call(service, get_monotonic_ms())
-        progress = _Progress(
-            Refusal(Reason.NO_TARGET, retry_after_ms=NO_TARGET_RETRY_MS)
-        )
+        progress = CallProgress()
         while True:
             now_ms = get_monotonic_ms()
-            choice = choose_target(self._list_candidates(service, progress, now_ms))
-            if choice is None or _is_futile(choice, progress):
-                return _sum_up(progress)
+            choice = progress.choose(self._list_candidates(service, now_ms))
+            if choice is None:
+                return progress.sum_up()
             if progress.sent and not self._may_send_again(
                 call, rule, service, is_return, progress, now_ms
             ):
-                return _sum_up(progress)
+                return progress.sum_up()
             hop = self._make_hop(choice, rule, now_ms - started_ms)
             buffer, refusal = await self._try(call, rule, choice, hop, writer)
             if refusal is None:
                 await buffer.deliver()
                 return None
             self._note_refusal(call, rule, choice, refusal, progress)
-            if not _may_go_on(call, rule, refusal, progress, writer):
-                return _sum_up(progress)
-
-    def _list_candidates(self, service, progress, now_ms):
-        candidates = self._directory.get_candidates(
+            if writer.is_started or not call.is_replayable:
+                return progress.sum_up()
+            if not progress.may_go_on(refusal, rule.is_repeatable):
+                return progress.sum_up()
+
+    def _list_candidates(self, service, now_ms):
+        own_id = self._directory.own.node_id
+        self._load_view.report(own_id, self._runner.get_load(), now_ms)
+        return self._directory.get_candidates(
             service,
             self._load_view,
             lambda target_id: self._health.is_avoided(target_id, now_ms),
             now_ms,
             get_now_ms(),
         )
-        return [item for item in candidates if item.target_id not in progress.tried]
 
     def _may_send_again(self, call, rule, service, is_return, progress, now_ms):
         if progress.sent >= rule.max_targets:
@@ -273,18 +253,8 @@
 
     def _note_refusal(self, call, rule, choice, refusal, progress):
         candidate = choice.candidate
-        progress.tries += 1
-        progress.tried.add(candidate.target_id)
-        is_unknown = refusal.outcome is not Outcome.NOT_RUN
-        if is_unknown or refusal.reason in REASONS_OF_ARRIVED:
-            progress.sent += 1
-        if choice.may_wait and refusal.reason is Reason.OVERLOADED:
-            load = self._load_view.get_load(candidate.node_id, get_monotonic_ms())
-            progress.refused_wait_ms = load.wait_ms
-            progress.wait_refusals += 1
-        if refusal.retry_after_ms:
-            progress.retry_after_ms.append(refusal.retry_after_ms)
-        progress.refusal = combine_refusals(progress.refusal, refusal)
+        load = self._load_view.get_load(candidate.node_id, get_monotonic_ms())
+        progress.note_refusal(choice, refusal, load.wait_ms)
         kind = FAILURE_KINDS.get(refusal.reason)
         if kind is not None:
             self._health.report_failure(candidate.target_id, kind, get_monotonic_ms())
@@ -307,29 +277,6 @@
         )
 
 
-def _is_futile(choice, progress):
-    """Return whether a call was refused where it would have waited no longer."""
-    if progress.wait_refusals < MAX_WAIT_REFUSALS:
-        return False
-    return choice.candidate.wait_ms > SHORTER_WAIT * progress.refused_wait_ms
-
-
-def _may_go_on(call, rule, refusal, progress, writer):
-    if writer.is_started or not call.is_replayable or progress.tries >= MAX_TRIES:
-        return False
-    if refusal.reason is Reason.DEADLINE_PASSED:
-        return False
-    return refusal.outcome is Outcome.NOT_RUN or rule.is_repeatable
-
-
-def _sum_up(progress):
-    """Return the refusal for the caller, with the earliest time of room."""
-    refusal = progress.refusal
-    if refusal.outcome is Outcome.NOT_RUN and progress.retry_after_ms:
-        return attrs.evolve(refusal, retry_after_ms=min(progress.retry_after_ms))
-    return refusal
-
-
 def _keep_headers(headers):
     """Relay the headers of a target beside this node as they are."""
 
--- a/packages/sidecar/src/gentianlink/sidecar/choose.py
+++ b/packages/sidecar/src/gentianlink/sidecar/choose.py
@@ -9,6 +9,9 @@
 # Time in milliseconds that a way to another data centre costs, there and back, with
 # the price of its bytes.
 OTHER_DATA_CENTRE_MS = 20.0
+# A call that found so many targets full waits at the best one it knows: another way
+# costs time and bytes, and is as likely to lead to a full one.
+MAX_FULL = 3
 
 
 @attrs.frozen
@@ -33,6 +36,8 @@
         Calls that wait for it.
     wait_ms : float
         Time in milliseconds until a new call gets a slot.
+    is_known : bool
+        Whether its node has told its load lately; otherwise it looks free.
     """
 
     node_id: str
@@ -43,6 +48,7 @@
     in_flight: int
     waiting: int
     wait_ms: float
+    is_known: bool = True
 
     @property
     def free(self):
@@ -71,17 +77,20 @@
     may_wait: bool
 
 
-def choose_target(candidates, rng=random):
+def choose_target(candidates, full=frozenset(), rng=random):
     """Return the target that a call should go to next.
 
     A free slot beside this node comes first, then one in the same data centre, then
     one anywhere, each time of the target with the largest free share of two. If none
-    looks free, the call goes where the wait is shortest.
+    looks free, or a few were found full, the call goes where the wait is shortest. In a
+    large deployment a node knows the load of few targets, and the others look free.
 
     Parameters
     ----------
     candidates : sequence of Candidate
-        Targets that were not tried yet.
+        Targets that the call may go to.
+    full : set of str, optional
+        Names of targets that had no free slot for this call; it did not wait there.
     rng : random.Random, optional
         Source of randomness.
 
@@ -92,9 +101,12 @@
     """
     if not candidates:
         return None
-    free = [item for item in candidates if item.free >= 1]
-    if not free:
-        return Choice(min(candidates, key=_compute_cost_ms), True)
+    free = [
+        item for item in candidates if item.free >= 1 and item.target_id not in full
+    ]
+    if not free or len(full) >= MAX_FULL:
+        known = [item for item in candidates if item.is_known]
+        return Choice(min(known or candidates, key=_compute_cost_ms), True)
     own = [item for item in free if item.is_own]
     near = [item for item in free if item.is_near]
     best = _choose_of_two(own or near or free, rng)
--- a/packages/sidecar/src/gentianlink/sidecar/load_view.py
+++ b/packages/sidecar/src/gentianlink/sidecar/load_view.py
@@ -47,6 +47,10 @@
         known.reported_ms = now_ms
         known.outstanding_at_report = known.outstanding
 
+    def is_known(self, node_id, now_ms):
+        """Return whether a node has told the load of its target lately."""
+        return now_ms - self._get(node_id).reported_ms < REPORT_LIFETIME_MS
+
     def get_load(self, node_id, now_ms):
         """Return the load of a node's target as it should be now.
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -42,6 +42,8 @@
     def __init__(self, own_record):
         self._own = own_record
         self._peers = {}
+        # Peers by the service of their target; made anew after a change of a record.
+        self._by_service = {}
 
     @property
     def own(self):
@@ -78,6 +80,7 @@
         known = self._peers.get(record.node_id)
         if known is None:
             _log_change(None, record)
+            self._by_service.clear()
             self._peers[record.node_id] = _Peer(record, now_ms)
             return None
         if record.order < known.record.order:
@@ -86,6 +89,7 @@
         if record.order != former.order:
             _log_change(former, record)
         known.record = record
+        self._by_service.clear()
         if former.incarnation == record.incarnation:
             return None
         known.version = 0
@@ -147,6 +151,7 @@
             if now_ms - peer.heard_ms >= FORGET_MS:
                 _LOG.info("peer forgotten", peer=node_id)
                 del self._peers[node_id]
+                self._by_service.clear()
 
     def get(self, node_id):
         """Return the record of a node, None if it is unknown."""
@@ -205,21 +210,21 @@
         """
         good = []
         doubtful = []
-        for record, is_doubtful in self._list_records(now_ms):
+        for record, is_doubtful in self._list_records(service, now_ms):
             target = record.target
-            if not _takes_calls(record, service):
-                continue
             load = load_view.get_load(record.node_id, now_ms)
+            is_own = record.node_id == self._own.node_id
             is_cold = wall_ms < target.cold_until_ms
             candidate = Candidate(
                 node_id=record.node_id,
                 target_id=target.target_id,
-                is_own=record.node_id == self._own.node_id,
+                is_own=is_own,
                 is_near=record.data_centre == self._own.data_centre,
                 slots=target.slots * (COLD_SHARE if is_cold else 1.0),
                 in_flight=load.in_flight,
                 waiting=load.waiting,
                 wait_ms=load.wait_ms,
+                is_known=is_own or load_view.is_known(record.node_id, now_ms),
             )
             is_doubtful = (
                 is_doubtful or not target.is_reachable or is_avoided(target.target_id)
@@ -227,10 +232,16 @@
             (doubtful if is_doubtful else good).append(candidate)
         return good or doubtful
 
-    def _list_records(self, now_ms):
-        yield self._own, False
+    def _list_records(self, service, now_ms):
+        if _takes_calls(self._own, service):
+            yield self._own, False
+        peers = self._by_service.get(service)
+        if peers is None:
+            known = self._peers.values()
+            peers = [peer for peer in known if _takes_calls(peer.record, service)]
+            self._by_service[service] = peers
         quiet_ms = QUIET_PERIODS * compute_period_ms(self.count)
-        for peer in self._peers.values():
+        for peer in peers:
             yield peer.record, peer.is_lost or now_ms - peer.heard_ms >= quiet_ms
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -43,6 +43,10 @@
         self._dispatches = dispatches
         self._metrics = metrics
 
+    def get_load(self):
+        """Return the load of the target."""
+        return self._beside.gate.get_load()
+
     async def run(self, call, hop, writer, edit_headers):
         """Run a call and relay the answer.
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
@@ -19,7 +19,7 @@
 from gentianlink.sidecar import admission
 from gentianlink.sidecar.beside_target import BesideTarget
 from gentianlink.sidecar.caller_answer import format_retry_after, get_status
-from gentianlink.sidecar.choose import Candidate, choose_target
+from gentianlink.sidecar.choose import MAX_FULL, Candidate, choose_target
 from gentianlink.sidecar.deadline_memory import DeadlineMemory
 from gentianlink.sidecar.dispatch_log import DispatchLog
 from gentianlink.sidecar.hop import (
@@ -157,6 +157,21 @@
         assert choice.may_wait
         assert choose_target([]) is None
 
+    def test_call_that_found_a_few_targets_full_waits_at_the_best_it_knows(self):
+        full = [
+            make_candidate(f"full-{i}", 0, wait_ms=50.0 + i) for i in range(MAX_FULL)
+        ]
+        unknown = [
+            attrs.evolve(make_candidate(f"far-{i}", 4), is_known=False)
+            for i in range(20)
+        ]
+        found = [item.target_id for item in full]
+        early = choose_target([*full, *unknown], found[:-1])
+        assert early.candidate in unknown
+        choice = choose_target([*full, *unknown], found)
+        assert choice.candidate is full[0]
+        assert choice.may_wait
+
 
 class TestDeadlineMemory:
     def test_caller_that_comes_back_has_less_time(self):
--- a/packages/sidecar/src/gentianlink/sidecar/test_load_patterns.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_load_patterns.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from gentianlink.sidecar.choose import MAX_FULL
+from gentianlink.testing.deployment_model import run_deployment_model
 from gentianlink.testing.gate_model import LoadKind, run_gate_model
 
 SLOTS = 9
@@ -57,3 +59,40 @@
     def test_returns_do_not_lower_what_is_served(self, seed):
         result = run_gate_model(SLOTS, [self.KIND], 20, seed)["read"]
         assert result.in_time + result.late >= 0.9 * 20 * SLOTS / 0.16
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+class TestManyTargetsOfWhichANodeKnowsFew:
+    """A large service at its limit: a node has no news of most targets."""
+
+    NODES = 25
+    READ = LoadKind("read", 350, 160, 1, 480, 2500, returns=1)
+    BUY = LoadKind("buy", 120, 160, 0, 480, 2500, returns=1)
+
+    def play(self, seed):
+        return run_deployment_model(self.NODES, 3, [self.READ, self.BUY], 4, seed)
+
+    def test_urgent_calls_are_served_and_slots_stay_busy(self, seed):
+        results, _ = self.play(seed)
+        answered = sum(result.in_time + result.late for result in results.values())
+        assert results["buy"].served_share >= 0.99
+        assert answered >= 0.9 * sum(result.asked for result in results.values())
+
+    def test_few_targets_are_asked_for_each_call(self, seed):
+        _, tries_per_call = self.play(seed)
+        assert tries_per_call <= MAX_FULL + 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+class TestHerdAtATargetThatHasJustStarted:
+    """After a loss of power all callers come back at once, and no work is known yet."""
+
+    KIND = LoadKind("read", 4 * SLOTS / 0.16, 160, 2, 500, 2000, returns=1)
+
+    def test_first_answers_come_in_time(self, seed):
+        result = run_gate_model(SLOTS, [self.KIND], 1, seed)["read"]
+        assert result.in_time >= 3 * result.late
+
+    def test_slots_stay_busy(self, seed):
+        result = run_gate_model(SLOTS, [self.KIND], 1, seed)["read"]
+        assert result.in_time + result.late >= 0.9 * SLOTS / 0.16
--- /dev/null
+++ b/packages/testing/src/gentianlink/testing/deployment_model.py
@@ -0,0 +1,151 @@
+"""A seeded model of callers at many nodes before many targets, in virtual time.
+
+It runs the product's choice of targets, its view of loads and its gates. There is no
+network but a delay, and nodes know of each other's loads only what answers told them.
+"""
+
+import asyncio
+import collections
+import random
+
+from gentianlink.sidecar.call_progress import CallProgress
+from gentianlink.sidecar.choose import Candidate
+from gentianlink.sidecar.hop import Hop
+from gentianlink.sidecar.load_view import LoadView
+from gentianlink.sidecar.priority_gate import PriorityGate
+from gentianlink.testing.gate_model import LoadResult, list_arrivals
+from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
+
+# One way between two nodes, in seconds.
+WAY_S = 0.001
+
+
+class _Deployment:
+    def __init__(self, nodes, slots, rng):
+        self.gates = [PriorityGate(slots) for _ in range(nodes)]
+        self.views = [LoadView() for _ in range(nodes)]
+        self.slots = slots
+        self.rng = rng
+        self.tries = 0
+
+    def list_candidates(self, node, now_ms):
+        view = self.views[node]
+        view.report(str(node), self.gates[node].get_load(), now_ms)
+        return [self._make_candidate(node, n, now_ms) for n in range(len(self.gates))]
+
+    def _make_candidate(self, node, number, now_ms):
+        name = str(number)
+        load = self.views[node].get_load(name, now_ms)
+        return Candidate(
+            node_id=name,
+            target_id=name,
+            is_own=number == node,
+            is_near=True,
+            slots=self.slots,
+            in_flight=load.in_flight,
+            waiting=load.waiting,
+            wait_ms=load.wait_ms,
+            is_known=self.views[node].is_known(name, now_ms),
+        )
+
+
+def run_deployment_model(nodes, slots, kinds, length_s, seed):
+    """Play a load on a service with a target at each node.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of nodes.
+    slots : int
+        Slots of each target.
+    kinds : sequence of LoadKind
+        Kinds of calls; each call arrives at a random node.
+    length_s : float
+        Time in seconds during which callers come.
+    seed : int
+        Seed of arrivals and work.
+
+    Returns
+    -------
+    results : dict of str to LoadResult
+        Results by kind.
+    tries_per_call : float
+        Mean number of targets that a call was offered to.
+    """
+    return run_virtual(_play(nodes, slots, kinds, length_s, seed))
+
+
+async def _play(nodes, slots, kinds, length_s, seed):
+    rng = random.Random(seed)
+    # The choice of targets draws from the module's generator.
+    random.seed(seed)
+    deployment = _Deployment(nodes, slots, rng)
+    results = collections.defaultdict(LoadResult)
+    callers = [
+        asyncio.create_task(_call(deployment, kind, at_s, work_ms, results[kind.name]))
+        for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng)
+    ]
+    await asyncio.gather(*callers)
+    return dict(results), deployment.tries / len(callers)
+
+
+async def _call(deployment, kind, at_s, work_ms, result):
+    await asyncio.sleep(at_s)
+    result.asked += 1
+    first_ms = get_virtual_ms()
+    for attempt in range(kind.returns + 1):
+        node = deployment.rng.randrange(len(deployment.gates))
+        refusal = await _route(deployment, node, kind, first_ms, work_ms)
+        if refusal is None:
+            result.note_answer(get_virtual_ms() - first_ms, kind)
+            return
+        if attempt < kind.returns:
+            await asyncio.sleep(refusal.retry_after_ms / 1000)
+    result.refused += 1
+
+
+async def _route(deployment, node, kind, first_ms, work_ms):
+    progress = CallProgress()
+    while True:
+        now_ms = get_virtual_ms()
+        choice = progress.choose(deployment.list_candidates(node, now_ms))
+        if choice is None:
+            return progress.sum_up()
+        deployment.tries += 1
+        refusal = await _offer(deployment, node, choice, kind, first_ms, work_ms)
+        if refusal is None:
+            return None
+        now_ms = get_virtual_ms()
+        load = deployment.views[node].get_load(choice.candidate.node_id, now_ms)
+        progress.note_refusal(choice, refusal, load.wait_ms)
+        if not progress.may_go_on(refusal, True):
+            return progress.sum_up()
+
+
+async def _offer(deployment, node, choice, kind, first_ms, work_ms):
+    name = choice.candidate.node_id
+    view = deployment.views[node]
+    gate = deployment.gates[int(name)]
+    view.begin(name)
+    await asyncio.sleep(WAY_S)
+    now_ms = get_virtual_ms()
+    left_ms = kind.target_latency_ms - (now_ms - first_ms)
+    hop = Hop(
+        incarnation=1,
+        target_id=name,
+        kind=kind.name,
+        priority=kind.priority,
+        latency_ms=left_ms,
+        target_latency_ms=kind.target_latency_ms,
+        may_wait=choice.may_wait,
+        is_repeatable=True,
+    )
+    refusal = await gate.enter(hop, first_ms + kind.deadline_ms, now_ms)
+    if refusal is None:
+        await asyncio.sleep(work_ms / 1000)
+        gate.leave(hop, work_ms, get_virtual_ms())
+    load = gate.get_load()
+    await asyncio.sleep(WAY_S)
+    view.end(name)
+    view.report(name, load, get_virtual_ms())
+    return refusal
--- a/packages/testing/src/gentianlink/testing/gate_model.py
+++ b/packages/testing/src/gentianlink/testing/gate_model.py
@@ -75,6 +75,12 @@
         """Share of the callers that were answered."""
         return (self.in_time + self.late) / max(1, self.asked)
 
+    def note_answer(self, took_ms, kind):
+        """Count an answer that took a time in milliseconds."""
+        is_in_time = took_ms <= kind.target_latency_ms
+        self.in_time += is_in_time
+        self.late += not is_in_time
+
 
 def run_gate_model(slots, kinds, length_s, seed):
     """Play a load before one gate.
@@ -101,18 +107,38 @@
 async def _play(gate, kinds, length_s, seed):
     rng = random.Random(seed)
     results = collections.defaultdict(LoadResult)
+    callers = [
+        asyncio.create_task(_call(gate, kind, at_s, work_ms, results[kind.name]))
+        for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng)
+    ]
+    await asyncio.gather(*callers)
+    return dict(results)
+
+
+def list_arrivals(kinds, length_s, rng):
+    """Return the calls of a model.
+
+    Parameters
+    ----------
+    kinds : sequence of LoadKind
+        Kinds of calls.
+    length_s : float
+        Time in seconds during which callers come.
+    rng : random.Random
+        Source of randomness.
+
+    Returns
+    -------
+    list of tuple
+        Arrival in seconds, kind, and work in milliseconds of each call.
+    """
     arrivals = []
     for kind in kinds:
         at_s = rng.expovariate(kind.per_s)
         while at_s < length_s:
             arrivals.append((at_s, kind, rng.expovariate(1 / kind.work_ms)))
             at_s += rng.expovariate(kind.per_s)
-    callers = [
-        asyncio.create_task(_call(gate, kind, at_s, work_ms, results[kind.name]))
-        for at_s, kind, work_ms in arrivals
-    ]
-    await asyncio.gather(*callers)
-    return dict(results)
+    return arrivals
 
 
 async def _call(gate, kind, at_s, work_ms, result):
@@ -136,9 +162,7 @@
         if refusal is None:
             await asyncio.sleep(work_ms / 1000)
             gate.leave(hop, work_ms, get_virtual_ms())
-            in_time = get_virtual_ms() - first_ms <= kind.target_latency_ms
-            result.in_time += in_time
-            result.late += not in_time
+            result.note_answer(get_virtual_ms() - first_ms, kind)
             return
         result.refusal_waits_ms.append(get_virtual_ms() - now_ms)
         if attempt < kind.returns:
