--- a/packages/sidecar/src/gentianlink/sidecar/beside_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/beside_target.py
@@ -5,6 +5,7 @@
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.log import get_logger
+from gentianlink.sidecar.failure_watch import FailureWatch
 from gentianlink.sidecar.priority_gate import PriorityGate
 from gentianlink.sidecar.target_info import TargetInfo
 
@@ -31,6 +32,7 @@
         self._info = None
         self._gate = PriorityGate(1)
         self._unreachable_until_ms = 0.0
+        self._watch = FailureWatch()
 
     @property
     def address(self):
@@ -85,6 +87,11 @@
             elif known.state is TargetState.DRAINING:
                 state = TargetState.DRAINING
         cold_until_ms = int(wall_ms + heartbeat.cold_ms) if heartbeat.cold_ms else 0
+        is_failing = (
+            known is not None
+            and _is_same_life(known, heartbeat)
+            and self._watch.is_failing(now_ms)
+        )
         self._replace(
             TargetInfo(
                 target_id=heartbeat.target_id,
@@ -95,6 +102,7 @@
                 sequence=heartbeat.sequence,
                 is_reachable=True,
                 cold_until_ms=cold_until_ms,
+                is_failing=is_failing,
             ),
             now_ms,
         )
@@ -135,7 +143,9 @@
                 state=info.state.value,
                 order=info.order,
             )
-            self._replace(attrs.evolve(info, is_reachable=True), now_ms)
+            self._replace(
+                attrs.evolve(info, is_reachable=True, is_failing=False), now_ms
+            )
         elif known.started_ms == info.started_ms and info.state is not known.state:
             if info.state is not TargetState.READY:
                 self._close(info.state)
@@ -161,6 +171,7 @@
             )
             self._gate.close(Reason.DRAINING)
             self._gate = PriorityGate(info.slots)
+            self._watch = FailureWatch()
             self._unreachable_until_ms = 0.0
         elif known.slots != info.slots:
             self._gate.resize(info.slots, now_ms)
@@ -186,6 +197,37 @@
             self._info = attrs.evolve(self._info, is_reachable=True)
             self._on_changed()
 
+    def note_outcome(self, is_failure, now_ms):
+        """Take in how a call ended that the target executed.
+
+        Parameters
+        ----------
+        is_failure : bool
+            Whether the target failed it.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        self._watch.record(is_failure, now_ms)
+        self.check_failing(now_ms)
+
+    def check_failing(self, now_ms):
+        """Tell other nodes if the target has begun or ceased to fail calls.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        is_failing = self._watch.is_failing(now_ms)
+        if self._info is None or self._info.is_failing is is_failing:
+            return
+        _LOG.info(
+            "target fails calls" if is_failing else "target tried again",
+            target=self._info.target_id,
+        )
+        self._info = attrs.evolve(self._info, is_failing=is_failing)
+        self._on_changed()
+
     def may_connect(self, now_ms):
         """Return whether a connection to the target is worth a try."""
         return now_ms >= self._unreachable_until_ms
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -122,5 +122,7 @@
     """Return what a record tells beyond the present moment."""
     target = record.target
     if target is not None:
-        target = attrs.evolve(target, sequence=0, is_reachable=True, cold_until_ms=0)
+        target = attrs.evolve(
+            target, sequence=0, is_reachable=True, cold_until_ms=0, is_failing=False
+        )
     return record.incarnation, target
--- a/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
@@ -118,7 +118,7 @@
 
 def _read_target(values):
     target_id, service, slots, state, started_ms, sequence, *rest = values
-    is_reachable, cold_until_ms = rest
+    is_reachable, cold_until_ms, is_failing = rest
     return TargetInfo(
         target_id=_check(target_id, str),
         service=_check(service, str),
@@ -128,6 +128,7 @@
         sequence=_check(sequence, int),
         is_reachable=_check(is_reachable, bool),
         cold_until_ms=_check(cold_until_ms, int),
+        is_failing=_check(is_failing, bool),
     )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -18,6 +18,9 @@
 # Exchanges that a node takes part in; each costs about a millisecond of processor.
 EXCHANGES_PER_S = 4
 MS_PER_S = 1000
+# If fewer targets are sound, something else makes the others fail, and the sound ones
+# could not take the calls of all.
+MIN_SOUND_SHARE = 0.5
 # A node that was not heard of for this long is forgotten.
 FORGET_MS = 60_000.0
 
@@ -206,9 +209,11 @@
         Returns
         -------
         list of Candidate
-            Targets; those of nodes that look lost only if there are no others.
+            Targets; those that fail calls only if most do, and those of nodes that
+            look lost only if there are no others.
         """
         good = []
+        failing = []
         doubtful = []
         for record, is_doubtful in self._list_records(service, now_ms):
             target = record.target
@@ -226,10 +231,12 @@
                 wait_ms=load.wait_ms,
                 is_known=is_own or load_view.is_known(record.node_id, now_ms),
             )
-            is_doubtful = (
-                is_doubtful or not target.is_reachable or is_avoided(target.target_id)
-            )
-            (doubtful if is_doubtful else good).append(candidate)
+            if is_doubtful or not target.is_reachable or is_avoided(target.target_id):
+                doubtful.append(candidate)
+            else:
+                (failing if target.is_failing else good).append(candidate)
+        if len(good) < MIN_SOUND_SHARE * (len(good) + len(failing)):
+            good += failing
         return good or doubtful
 
     def _list_records(self, service, now_ms):
@@ -280,4 +287,5 @@
         target=None if target is None else target.target_id,
         state=None if target is None else target.state.value,
         is_reachable=None if target is None else target.is_reachable,
+        is_failing=None if target is None else target.is_failing,
     )
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -49,8 +49,10 @@
 MAX_ROWS_WAIT_S = 0.5
 # Callers ask once a second whether a node is ready and need two answers.
 STOP_ACCEPTING_S = 3.0
-# Left of the time between the request to stop and the kill, for the last writes.
-STOP_RESERVE_S = 0.4
+# Share of the time between the request to stop and the kill that is left for the last
+# writes and the end of all tasks; a target that is at work in the last sixth may be
+# left alone.
+STOP_RESERVE_SHARE = 0.125
 STOP_CHECK_S = 0.05
 # Closing is at once unless the other end of a connection is gone.
 CLOSE_S = 0.2
@@ -238,6 +240,7 @@
         self._pool.sweep(now_ms)
         self._caller_server.sweep(now_ms)
         self._directory.forget_old(now_ms)
+        self._beside.check_failing(now_ms)
 
     async def _stop(self):
         _LOG.info("stopping", in_flight=self._in_flight)
@@ -245,7 +248,7 @@
         self._is_stopping = True
         self._publish()
         self._caller_server.close_connections_after_answers()
-        grace_s = self._settings.bounds.grace_ms / 1000 - STOP_RESERVE_S
+        grace_s = self._settings.bounds.grace_ms / 1000 * (1 - STOP_RESERVE_SHARE)
         await asyncio.sleep(min(STOP_ACCEPTING_S, grace_s))
         self._caller_server.refuse_new_calls()
         self._beside.gate.close(Reason.DRAINING)
--- a/packages/sidecar/src/gentianlink/sidecar/target_info.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_info.py
@@ -27,6 +27,8 @@
         Whether the node could connect to it lately.
     cold_until_ms : int
         End of its slow start in milliseconds since the epoch.
+    is_failing : bool
+        Whether it fails many calls at present, whatever its health checks say.
     """
 
     target_id: str
@@ -37,6 +39,7 @@
     sequence: int
     is_reachable: bool = True
     cold_until_ms: int = 0
+    is_failing: bool = False
 
     @property
     def order(self):
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -17,6 +17,13 @@
 _LOG = get_logger("gate")
 
 RETRY_AFTER_MS = 100
+STATUS_SERVER_ERROR = 500
+REASONS_OF_FAILURE = (
+    Reason.TARGET_LOST,
+    Reason.TARGET_SILENT,
+    Reason.BAD_ANSWER,
+    Reason.TARGET_SHED,
+)
 # A target may work in silence up to the deadline; keep-alive probes tell a connection
 # that has gone silent.
 MAX_SILENCE_MS = 30_000
@@ -88,13 +95,26 @@
                 self._note_refusal(call, hop, gate, refusal)
                 return None, refusal
             has_run = True
-            return await self._exchange(call, hop, writer, edit_headers)
+            answer = await self._exchange(call, hop, writer, edit_headers)
+            self._note_outcome(hop, started_ms, *answer)
+            return answer
         finally:
             now_ms = get_monotonic_ms()
             gate.leave(hop, now_ms - started_ms if has_run else 0.0, now_ms)
             if has_run:
                 self._note_run(call, hop, started_ms - arrived_ms, now_ms - started_ms)
 
+    def _note_outcome(self, hop, started_ms, buffer, refusal):
+        now_ms = get_monotonic_ms()
+        if refusal is None:
+            is_failure = buffer.status >= STATUS_SERVER_ERROR
+        elif refusal.reason is Reason.DEADLINE_PASSED:
+            # A call that came with little time left says nothing of the target.
+            is_failure = now_ms - started_ms >= hop.target_latency_ms
+        else:
+            is_failure = refusal.reason in REASONS_OF_FAILURE
+        self._beside.note_outcome(is_failure, now_ms)
+
     def _note_refusal(self, call, hop, gate, refusal):
         self._metrics.count(
             "gate_refusals_total", rule=hop.kind, reason=refusal.reason.value
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/test_failure_watch.py
@@ -0,0 +1,101 @@
+"""Patterns of targets that fail calls though their health checks pass."""
+
+import random
+
+import attrs
+import pytest
+
+from gentianlink.core.target_state import TargetState
+from gentianlink.sidecar.beside_target import BesideTarget
+from gentianlink.sidecar.failure_watch import FIRST_PAUSE_MS, FailureWatch
+from gentianlink.sidecar.load_view import LoadView
+from gentianlink.sidecar.peer_directory import PeerDirectory
+from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.target_info import TargetInfo
+
+SERVICE = "inquiry"
+# Time between two answers in milliseconds.
+STEP_MS = 50.0
+
+
+def play(watch, failed_share, seconds, seed, start_ms=0.0):
+    """Return for how much of a time calls would have been sent elsewhere."""
+    rng = random.Random(seed)
+    away = 0
+    steps = int(seconds * 1000 / STEP_MS)
+    for step in range(steps):
+        now_ms = start_ms + step * STEP_MS
+        if watch.is_failing(now_ms):
+            away += 1
+        else:
+            watch.record(rng.random() < failed_share, now_ms)
+    return away / steps
+
+
+@pytest.mark.parametrize("seed", range(5))
+class TestFailureWatch:
+    def test_target_that_fails_all_calls_is_left_soon(self, seed):
+        assert play(FailureWatch(), 1.0, 7, seed) >= 0.85
+
+    def test_target_that_fails_half_of_its_calls_is_left(self, seed):
+        assert play(FailureWatch(), 0.5, 7, seed) >= 0.5
+
+    def test_sound_target_is_kept(self, seed):
+        assert play(FailureWatch(), 0.02, 60, seed) <= 0.05
+
+    def test_target_that_is_well_again_is_used_after_the_pause(self, seed):
+        watch = FailureWatch()
+        play(watch, 1.0, 1, seed)
+        assert watch.is_failing(1000.0)
+        assert play(watch, 0.0, 60, seed, start_ms=1000.0) <= 0.05
+
+    def test_target_that_fails_again_is_left_for_longer(self, seed):
+        watch = FailureWatch()
+        for number in range(6):
+            watch.record(True, float(number))
+        assert watch.is_failing(FIRST_PAUSE_MS)
+        back_ms = FIRST_PAUSE_MS + 10.0
+        assert not watch.is_failing(back_ms)
+        watch.record(True, back_ms)
+        watch.record(True, back_ms)
+        assert watch.is_failing(back_ms + FIRST_PAUSE_MS + 1.0)
+
+
+class TestChoiceAmongFailingTargets:
+    """Pattern: one target in five fails; or a service they all call is away."""
+
+    def list_candidates(self, failing, total=5):
+        records = [self.make_record(i, is_failing=i < failing) for i in range(total)]
+        directory = PeerDirectory(PeerRecord("own", 1, 0, "a", "p", "f"))
+        for record in records:
+            directory.take(record, 0.0)
+        found = directory.get_candidates(SERVICE, LoadView(), lambda _: False, 0.0, 0)
+        return {item.target_id for item in found}
+
+    def make_record(self, number, is_failing):
+        target = TargetInfo(f"i-{number}", SERVICE, 3, TargetState.READY, 1, 1)
+        target = attrs.evolve(target, is_failing=is_failing)
+        name = f"node-{number}"
+        return PeerRecord(name, 1, 0, "a", name, name, target=target)
+
+    def test_failing_targets_are_left_while_others_can_take_their_calls(self):
+        assert self.list_candidates(failing=1) == {"i-1", "i-2", "i-3", "i-4"}
+
+    def test_all_are_used_when_most_of_them_fail(self):
+        assert len(self.list_candidates(failing=3)) == 5
+        assert len(self.list_candidates(failing=5)) == 5
+
+
+class TestNews:
+    def test_other_nodes_hear_when_a_target_begins_and_ceases_to_fail(self):
+        news = []
+        beside = BesideTarget(
+            "10.0.0.1:80", lambda: news.append(beside.info.is_failing)
+        )
+        info = TargetInfo("i-1", SERVICE, 3, TargetState.READY, 1, 1)
+        beside.take_former(info, 0.0)
+        for number in range(6):
+            beside.note_outcome(True, float(number))
+        beside.check_failing(FIRST_PAUSE_MS - 1.0)
+        beside.check_failing(FIRST_PAUSE_MS + 10.0)
+        assert news == [False, True, False]
