Send repeatable calls that a target failed to a free one; begin half of the first exchanges

The test of a call that goes to another target sends calls until one does: news of a load may favour the other target for a second, and failed one run in 20 at 12 calls.

--- a/packages/sidecar/src/gentianlink/sidecar/call_progress.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_progress.py
@@ -92,6 +92,18 @@
             self._retry_after_ms.append(refusal.retry_after_ms)
         self._refusal = combine_refusals(self._refusal, refusal)
 
+    def note_failed(self, choice):
+        """Take in that a target executed the call and failed it.
+
+        Parameters
+        ----------
+        choice : Choice
+            The target.
+        """
+        self._tries += 1
+        self._sent += 1
+        self._tried.add(choice.candidate.target_id)
+
     def may_go_on(self, refusal, is_repeatable):
         """Return whether the call may go to another target after a refusal.
 
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -23,6 +23,7 @@
 _LOG = get_logger("router")
 
 RETRY_AFTER_MS = 100
+STATUS_SERVER_ERROR = 500
 # A target may work in silence up to the deadline; keep-alive probes tell a connection
 # that has gone silent.
 MAX_SILENCE_MS = 30_000
@@ -108,26 +109,46 @@
             None if an answer was relayed whole.
         """
         self._retries.record_call(service, get_monotonic_ms())
+        buffer, refusal = await self._find_answer(
+            call, rule, service, started_ms, is_return, writer
+        )
+        if refusal is None:
+            await buffer.deliver()
+        return refusal
+
+    async def _find_answer(self, call, rule, service, started_ms, is_return, writer):
+        """Return the answer to deliver, or why there is none."""
         progress = CallProgress()
+        # Answer of a target that failed the call; it stands if there is no better one.
+        failed = None
         while True:
             now_ms = get_monotonic_ms()
             choice = progress.choose(self._list_candidates(service, now_ms))
-            if choice is None:
-                return progress.sum_up()
-            if progress.sent and not self._may_send_again(
-                call, rule, service, is_return, progress, now_ms
-            ):
-                return progress.sum_up()
+            # A call that was answered doesn't take a slot that others wait for.
+            is_wanted = choice is not None and not (
+                failed and choice.candidate.free < 1
+            )
+            if is_wanted and progress.sent:
+                is_wanted = self._may_send_again(
+                    call, rule, service, is_return, progress, now_ms
+                )
+            if not is_wanted:
+                break
             hop = self._make_hop(choice, rule, now_ms - started_ms)
             buffer, refusal = await self._try(call, rule, choice, hop, writer)
             if refusal is None:
-                await buffer.deliver()
-                return None
+                if not _may_be_bettered(rule, buffer, writer):
+                    return buffer, None
+                failed = buffer
+                self._note_failed(call, rule, choice, buffer)
+                progress.note_failed(choice)
+                continue
             self._note_refusal(call, rule, choice, refusal, progress)
             if writer.is_started or not call.is_replayable:
-                return progress.sum_up()
+                break
             if not progress.may_go_on(refusal, rule.is_repeatable):
-                return progress.sum_up()
+                break
+        return (failed, None) if failed else (None, progress.sum_up())
 
     def _list_candidates(self, service, now_ms):
         own_id = self._directory.own.node_id
@@ -251,6 +272,16 @@
 
         return classify
 
+    def _note_failed(self, call, rule, choice, buffer):
+        _LOG.info(
+            "failed by a target",
+            id=call.headers.get(wire.REQUEST_ID, ""),
+            rule=rule.name,
+            target=choice.candidate.target_id,
+            peer=choice.candidate.node_id,
+            status=buffer.status,
+        )
+
     def _note_refusal(self, call, rule, choice, refusal, progress):
         candidate = choice.candidate
         load = self._load_view.get_load(candidate.node_id, get_monotonic_ms())
@@ -277,6 +308,12 @@
         )
 
 
+def _may_be_bettered(rule, buffer, writer):
+    """Return whether another target may give a better answer."""
+    is_failure = buffer.status >= STATUS_SERVER_ERROR
+    return is_failure and rule.is_repeatable and not writer.is_started
+
+
 def _keep_headers(headers):
     """Relay the headers of a target beside this node as they are."""
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -1,6 +1,7 @@
 """Exchange state with other nodes: one task for each of them."""
 
 import asyncio
+import random
 
 import orjson
 
@@ -33,6 +34,8 @@
 FOLLOW_TIMEOUT_MS = 1500
 # Nodes that are asked for a version one after another.
 MAX_ASKED = 4
+# Nodes that start at once begin their first exchanges spread over this time.
+FIRST_SPREAD_S = 0.1
 # Changes within this time go out together.
 PUSH_DELAY_MS = 5.0
 
@@ -79,6 +82,10 @@
         link.task = start_task(self._run_link(link), "peer")
 
     async def _run_link(self, link):
+        # Of two nodes that start together one begins, and the other need not.
+        await asyncio.sleep(random.uniform(0.0, FIRST_SPREAD_S))
+        if link.acknowledged_order == self._directory.own.order:
+            await self._wait(link)
         while True:
             link.wake.clear()
             await self._exchange(link)
@@ -86,11 +93,14 @@
                 del self._links[link.address]
                 link.connections.close()
                 return
-            try:
-                async with asyncio.timeout(self._compute_wait_ms(link) / 1000):
-                    await link.wake.wait()
-            except TimeoutError:
-                continue
+            await self._wait(link)
+
+    async def _wait(self, link):
+        try:
+            async with asyncio.timeout(self._compute_wait_ms(link) / 1000):
+                await link.wake.wait()
+        except TimeoutError:
+            return
 
     def _compute_wait_ms(self, link):
         if link.failures:
@@ -205,6 +215,11 @@
             others = self._list_others(message.node_id)
             addresses = tuple(item.peer_address for item in others)
         reply = self._make_message(message.node_id, message.known_order, addresses)
+        sender = self._directory.get(message.node_id)
+        link = None if sender is None else self._links.get(sender.peer_address)
+        if link is not None:
+            # If the reply is lost, the other node begins anew and says what it has.
+            link.acknowledged_order = self._directory.own.order
         return Reply(body=encode_message(reply))
 
     def _list_others(self, node_id):
