--- a/packages/sidecar/src/gentianlink/sidecar/readers.py
+++ b/packages/sidecar/src/gentianlink/sidecar/readers.py
@@ -5,13 +5,17 @@
 read the table and the others follow one of them.
 """
 
+import collections
 import zlib
 
 # With two, a reader that is lost is replaced by one that has the version already.
 READERS = 2
 # A node that did not serve as a reader is asked again after this time: it is as long as
-# a process needs to start or to find its way to the table again.
+# a process needs to start or to find its way to the table again. Each time in a row it
+# is left alone for twice as long: the node that reads in its place would stop for it.
 SUSPEND_MS = 1500.0
+SUSPEND_GROWTH = 2.0
+MAX_FAILURES = 3
 
 
 class Readers:
@@ -26,6 +30,7 @@
     def __init__(self, directory):
         self._directory = directory
         self._suspended = {}
+        self._failures = collections.Counter()
 
     def suspend(self, node_id, now_ms):
         """Take in that a node does not serve as a reader at present.
@@ -37,7 +42,19 @@
         now_ms : float
             Present time on the monotonic clock in milliseconds.
         """
-        self._suspended[node_id] = now_ms + SUSPEND_MS
+        failures = min(MAX_FAILURES, self._failures[node_id])
+        self._suspended[node_id] = now_ms + SUSPEND_MS * SUSPEND_GROWTH**failures
+        self._failures[node_id] = failures + 1
+
+    def note_served(self, node_id):
+        """Take in that a node serves as a reader.
+
+        Parameters
+        ----------
+        node_id : str
+            Name of the node.
+        """
+        self._failures.pop(node_id, None)
 
     def choose(self, now_ms):
         """Return the node to follow.
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -111,6 +111,7 @@
             _LOG.info("leaving the table to another node", reader=reader.node_id)
         self._is_reading = False
         data = await self._exchange.follow_rules(reader, self._holder.version)
+        self._readers.note_served(reader.node_id)
         if data:
             self._holder.take_change(data, "reader")
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_rules.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rules.py
@@ -186,6 +186,22 @@
         assert readers.choose(1.0) is None
         assert readers.choose(SUSPEND_MS + 1.0) == followed
 
+    def test_reader_that_fails_again_is_left_alone_for_longer(self):
+        """Pattern: a reader has lost the platform for ten seconds, another has not."""
+        links = {f"n-{i}": 2.5 for i in range(3)}
+        readers, _ = self.make("n-2", links)
+        followed = readers.choose(0.0)
+        changes = 0
+        for now_ms in range(0, 10_000, 100):
+            reader = readers.choose(float(now_ms))
+            if reader is not None:
+                changes += 1
+                readers.suspend(reader.node_id, float(now_ms))
+        assert changes <= 4
+        readers.note_served(followed.node_id)
+        readers.suspend(followed.node_id, 60_000.0)
+        assert readers.choose(60_000.0 + SUSPEND_MS) == followed
+
 
 class TestPause:
     """Pattern: a fast series of large versions over a slow link."""
