--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -20,12 +20,11 @@
 from gentianlink.sidecar.call_progress import REASONS_OF_ARRIVED, CallProgress
 from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop, parse_result
 from gentianlink.sidecar.send_call import send_call
+from gentianlink.sidecar.status import NEWS_RETRY_MS, STATUS_SERVER_ERROR
 from gentianlink.sidecar.verdict import ANSWER, BAD, Verdict
 
 _LOG = get_logger("router")
 
-RETRY_AFTER_MS = 100
-STATUS_SERVER_ERROR = 500
 # A target may work in silence up to the deadline; keep-alive probes tell a connection
 # that has gone silent.
 MAX_SILENCE_MS = 30_000
@@ -224,10 +223,10 @@
             self._directory.note_lost(candidate.node_id, "no connection for a call")
             self._exchange.check(record.peer_address)
             reason = Reason.TARGET_UNREACHABLE
-            return None, Refusal(reason, retry_after_ms=RETRY_AFTER_MS)
+            return None, Refusal(reason, retry_after_ms=NEWS_RETRY_MS)
         except ConnectionLimitReached:
             reason = Reason.CONNECTION_LIMIT
-            return None, Refusal(reason, retry_after_ms=RETRY_AFTER_MS)
+            return None, Refusal(reason, retry_after_ms=NEWS_RETRY_MS)
         call.headers[HOP_HEADER] = format_hop(hop)
         buffer = AnswerBuffer(
             writer,
@@ -260,7 +259,7 @@
         if not is_fenced:
             return refusal
         return attrs.evolve(
-            refusal, outcome=Outcome.NOT_RUN, retry_after_ms=RETRY_AFTER_MS
+            refusal, outcome=Outcome.NOT_RUN, retry_after_ms=NEWS_RETRY_MS
         )
 
     def _make_classifier(self, node_id):
--- a/packages/sidecar/src/gentianlink/sidecar/caller_answer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/caller_answer.py
@@ -4,6 +4,7 @@
 
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
+from gentianlink.sidecar.status import STATUS_UNAVAILABLE
 
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -11,7 +12,6 @@
     Reason.NO_ROUTE: 404,
     Reason.BODY_TOO_LARGE: 413,
 }
-STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
 REASONS_OF_TIME = (Reason.DEADLINE_PASSED, Reason.TARGET_SILENT)
--- a/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
@@ -6,12 +6,14 @@
 from gentianlink.platform.heartbeat_codec import decode_heartbeat, decode_started_ms
 from gentianlink.platform.wire import ANNOUNCE_PATH_PREFIX, READY_PATH
 from gentianlink.sidecar.endpoints_server import Reply
+from gentianlink.sidecar.status import (
+    STATUS_BAD_REQUEST,
+    STATUS_NOT_FOUND,
+    STATUS_UNAVAILABLE,
+)
 
 _LOG = get_logger("control")
 
-STATUS_BAD_REQUEST = 400
-STATUS_NOT_FOUND = 404
-STATUS_UNAVAILABLE = 503
 MAX_SHOWN_BYTES = 200
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -4,10 +4,8 @@
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
 from gentianlink.sidecar.call_reader import SidecarCallReader, parse_deadline_ms
-from gentianlink.sidecar.caller_answer import STATUS_UNAVAILABLE
 from gentianlink.sidecar.hop import HOP_HEADER, format_result, parse_hop
-
-RETRY_AFTER_MS = 100
+from gentianlink.sidecar.status import NEWS_RETRY_MS, STATUS_UNAVAILABLE
 
 
 class ForwardServer(RequestServer):
@@ -45,7 +43,7 @@
             return Refusal(Reason.BAD_REQUEST)
         self._on_version(reader.remote_address, hop.version)
         if hop.incarnation != self._incarnation:
-            return Refusal(Reason.WRONG_NODE, retry_after_ms=RETRY_AFTER_MS)
+            return Refusal(Reason.WRONG_NODE, retry_after_ms=NEWS_RETRY_MS)
         call = reader.make_bounded_call(reader.started_ms + remaining_ms)
         del call.headers[HOP_HEADER]
         buffer, refusal = await self._runner.run(call, hop, writer, self._add_result)
--- a/packages/sidecar/src/gentianlink/sidecar/metrics_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/metrics_endpoint.py
@@ -1,9 +1,9 @@
 """Serve the metrics of the process."""
 
 from gentianlink.sidecar.endpoints_server import Reply
+from gentianlink.sidecar.status import STATUS_NOT_FOUND
 
 METRICS_PATH = "/metrics"
-STATUS_NOT_FOUND = 404
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
@@ -12,12 +12,14 @@
     FOLLOW_WAIT_S,
     RULES_PATH_PREFIX,
 )
+from gentianlink.sidecar.status import (
+    STATUS_BAD_REQUEST,
+    STATUS_NOT_FOUND,
+    STATUS_UNAVAILABLE,
+)
 
 _LOG = get_logger("peers")
 
-STATUS_BAD_REQUEST = 400
-STATUS_NOT_FOUND = 404
-STATUS_UNAVAILABLE = 503
 # Others may notice that a reader is lost this long before this node does.
 TAKE_OVER_S = 0.4
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -14,6 +14,7 @@
 from gentianlink.sidecar.peer_directory import FORGET_MS, compute_period_ms
 from gentianlink.sidecar.peer_link import PeerLink
 from gentianlink.sidecar.peer_message import PeerMessage
+from gentianlink.sidecar.status import STATUS_BAD_REQUEST, STATUS_OK
 
 _LOG = get_logger("peers")
 
@@ -21,8 +22,6 @@
 RULES_PATH_PREFIX = "/rules/"
 FOLLOW_PATH_PREFIX = "/follow/"
 FENCE_PATH = "/fence"
-STATUS_OK = 200
-STATUS_BAD_REQUEST = 400
 
 # A node that has not answered is asked again after this time, and then more slowly.
 LOST_PERIOD_MS = 700.0
