Use failing targets when the others are full; leave only those that fail nearly all calls

Targets that fail 40% of their calls were left while the sound ones were full and refused.

The test of a target that fails half of its calls is replaced by one that it is kept, and one that a failing target is used when the others are full.

--- a/packages/sidecar/src/gentianlink/sidecar/failure_watch.py
+++ b/packages/sidecar/src/gentianlink/sidecar/failure_watch.py
@@ -1,7 +1,7 @@
 """Tell from the answers of a target whether it fails calls that others would serve.
 
-A target may pass its health checks and fail each call, or a part of them. It is free
-more often than the others then, so it would get more than its part of the calls.
+A target may pass its health checks and fail each call. It is free more often than the
+others then, so it would get more than its part of the calls.
 """
 
 import collections
@@ -12,10 +12,10 @@
 # some seconds.
 MAX_OUTCOMES = 10
 MEMORY_MS = 4000.0
-# So many answers are needed for a decision, and so large a share of failures: a sound
-# target fails a call in fifty, and one in seven when a service it calls is in trouble.
-MIN_OUTCOMES = 6
-FAILED_SHARE = 0.4
+# So many answers are needed for a decision, and so large a share of failures: a target
+# that answers half of its calls is worth its slots when others are full.
+MIN_OUTCOMES = 7
+FAILED_SHARE = 0.85
 # After this time the target is tried again; so many failures show that it still fails.
 FIRST_PAUSE_MS = 2000.0
 MAX_PAUSE_MS = 8000.0
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -213,8 +213,8 @@
         Returns
         -------
         list of Candidate
-            Targets; those that fail calls only if most do, and those of nodes that
-            look lost only if there are no others.
+            Targets; those that fail calls only if most do or no other looks free, and
+            those of nodes that look lost only if there are no others.
         """
         near = self._own.data_centre
         good = []
@@ -245,7 +245,8 @@
                 (failing if target.is_failing else good).append(candidate)
         if is_near_only:
             return good
-        if len(good) < MIN_SOUND_SHARE * (len(good) + len(failing)):
+        is_full = not any(item.free >= 1 for item in good)
+        if is_full or len(good) < MIN_SOUND_SHARE * (len(good) + len(failing)):
             good += failing
         return good or doubtful
 
