Let one piece of code serve where the change had written it again

- run_call (node/proxy/exchange_call.py) runs the exchange for both programs; they differ only in the headers they set. get_max_idle_ms and FAILURE_KINDS stand once.
- compare_items (ops) serves deltas and changes of rules; one wait between attempts to reach the platform (sidecar/backoff.py) in place of two.
- The own load is reported once a choice and not twice; a link to a node is looked up in one place; the pause after a version is taken where the loop of the feed turns.

Behaviour stays as it is. Weighed and left: get_ranked for the choice between two readers, as it would load hashlib at each start.

--- a/packages/core/src/gentianlink/core/setting.py
+++ b/packages/core/src/gentianlink/core/setting.py
@@ -58,15 +58,7 @@
     attrs field
         Field whose metadata parse and describe the setting.
     """
-
-    def parse(value):
-        if not _WHOLE_NUMBER.fullmatch(value):
-            raise ValueError(value)
-        number = int(value)
-        if not low <= number <= high:
-            raise ValueError(value)
-        return number
-
+    parse = _make_number_parser(_WHOLE_NUMBER, int, low, high)
     allowed = f"whole number from {low} to {high}"
     return _make_field(parse, allowed, default, reloadable)
 
@@ -88,16 +80,20 @@
     attrs field
         Field whose metadata parse and describe the setting.
     """
+    parse = _make_number_parser(_DECIMAL, float, low, high)
+    return _make_field(parse, f"number from {low} to {high}", default)
 
+
+def _make_number_parser(pattern, convert, low, high):
     def parse(value):
-        if not _DECIMAL.fullmatch(value):
+        if not pattern.fullmatch(value):
             raise ValueError(value)
-        number = float(value)
+        number = convert(value)
         if not low <= number <= high:
             raise ValueError(value)
         return number
 
-    return _make_field(parse, f"number from {low} to {high}", default)
+    return parse
 
 
 def text(default=attrs.NOTHING):
--- a/packages/node/src/gentianlink/node/proxy/connection_pool.py
+++ b/packages/node/src/gentianlink/node/proxy/connection_pool.py
@@ -13,6 +13,22 @@
 MS_PER_S = 1000
 
 
+def get_max_idle_ms(is_repeatable):
+    """Return how long a connection may have been idle that a call goes over.
+
+    Parameters
+    ----------
+    is_repeatable : bool
+        Whether a second execution does no harm, if the other end has closed it.
+
+    Returns
+    -------
+    int
+        Time in milliseconds.
+    """
+    return MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+
+
 class ConnectionPool:
     """Connections, each used by one exchange at a time.
 
--- a/packages/node/src/gentianlink/node/proxy/dispatcher.py
+++ b/packages/node/src/gentianlink/node/proxy/dispatcher.py
@@ -7,10 +7,7 @@
 from gentianlink.core.work_class import WorkClass
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_relay import AnswerRelay
-from gentianlink.node.proxy.connection_pool import (
-    MAX_IDLE_MS,
-    MAX_IDLE_NON_REPEATABLE_MS,
-)
+from gentianlink.node.proxy.connection_pool import get_max_idle_ms
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.exchange_call import compute_silence_ms, exchange_call
 from gentianlink.node.proxy.refusal import Refusal, combine_refusals
@@ -117,7 +114,7 @@
         now_ms = get_monotonic_ms()
         budget = self._get_budget(target.service, now_ms)
         budget.record_call(now_ms)
-        max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        max_idle_ms = get_max_idle_ms(is_repeatable)
         silence_ms = self._silence_ms
         if is_repeatable:
             remaining_ms = call.get_remaining_ms(now_ms)
--- a/packages/node/src/gentianlink/node/proxy/exchange_call.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_call.py
@@ -79,11 +79,49 @@
     CallerGone
         If the caller closed its connection.
     """
-    remaining_ms = call.get_remaining_ms(get_monotonic_ms())
+
+    def set_headers(remaining_ms):
+        set_target_headers(call, remaining_ms, target_id)
+
+    return await run_call(pool, stream, call, relay, silence_ms, set_headers)
+
+
+async def run_call(pool, stream, call, relay, silence_ms, set_headers):
+    """Run the exchange of a call and give its connection back.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Takes the connection back.
+    stream : ExchangeStream
+        Connection of the exchange.
+    call : Call
+        The call.
+    relay : RelayedAnswer
+        Takes the answer.
+    silence_ms : float
+        Longest time in milliseconds without progress.
+    set_headers : callable
+        Takes the time until the deadline in milliseconds and sets the headers that
+        the other end receives.
+
+    Returns
+    -------
+    Refusal or None
+        None if there is a whole answer. The outcome is unknown as soon as a byte may
+        have left.
+
+    Raises
+    ------
+    CallerGone
+        If the caller closed its connection.
+    """
+    now_ms = get_monotonic_ms()
+    remaining_ms = call.get_remaining_ms(now_ms)
     if remaining_ms <= 0:
-        pool.release(stream, True, get_monotonic_ms())
+        pool.release(stream, True, now_ms)
         return Refusal(Reason.DEADLINE_PASSED)
-    set_target_headers(call, remaining_ms, target_id)
+    set_headers(remaining_ms)
     is_reusable = False
     try:
         is_reusable = await run_exchange(stream, call, relay, silence_ms)
--- a/packages/node/src/gentianlink/node/proxy/router.py
+++ b/packages/node/src/gentianlink/node/proxy/router.py
@@ -5,12 +5,9 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
-from gentianlink.node.failure_kind import FailureKind
+from gentianlink.node.failure_kind import FAILURE_KINDS
 from gentianlink.node.proxy.answer_relay import AnswerRelay, read_node_refusal
-from gentianlink.node.proxy.connection_pool import (
-    MAX_IDLE_MS,
-    MAX_IDLE_NON_REPEATABLE_MS,
-)
+from gentianlink.node.proxy.connection_pool import get_max_idle_ms
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.exchange_call import compute_silence_ms, exchange_call
 from gentianlink.node.proxy.refusal import Refusal, combine_refusals
@@ -19,11 +16,6 @@
 
 RETRY_AFTER_MS = 100
 SILENCE_SHARE = 0.7
-FAILURE_KINDS = {
-    Reason.TARGET_UNREACHABLE: FailureKind.REFUSED,
-    Reason.TARGET_LOST: FailureKind.RESET,
-    Reason.TARGET_SILENT: FailureKind.SILENT,
-}
 REASONS_OF_FULL_TARGETS = (Reason.OVERLOADED, Reason.TARGET_SHED)
 REASONS_WITHOUT_BUDGET = (Reason.DRAINING, Reason.WRONG_NODE)
 REASONS_WITHOUT_RETRY = (
@@ -179,7 +171,7 @@
 
     async def _forward(self, call, route, endpoint, writer, version):
         is_repeatable = route.entry.work_class.is_repeatable
-        max_idle_ms = MAX_IDLE_MS if is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        max_idle_ms = get_max_idle_ms(is_repeatable)
         try:
             stream = await self._pool.acquire(
                 endpoint.address, endpoint.call_port, get_monotonic_ms(), max_idle_ms
--- a/packages/ops/src/gentianlink/ops/delta.py
+++ b/packages/ops/src/gentianlink/ops/delta.py
@@ -4,6 +4,7 @@
 from gentianlink.core.codec import compute_digest
 from gentianlink.core.delta import Delta
 from gentianlink.core.errors import DeltaMismatch, DigestMismatch
+from gentianlink.ops.compare_items import compare_items
 
 
 def compute_delta(old, new):
@@ -36,11 +37,9 @@
 
 
 def _compare(old_items, new_items):
-    old_by_name = {item.name: item for item in old_items}
-    new_names = {item.name for item in new_items}
-    changed = tuple(item for item in new_items if old_by_name.get(item.name) != item)
-    removed = tuple(name for name in old_by_name if name not in new_names)
-    return changed, removed
+    return compare_items(
+        {item.name: item for item in old_items}, {item.name: item for item in new_items}
+    )
 
 
 def apply_delta(catalogue, digest, delta):
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -7,12 +7,9 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
-from gentianlink.node.failure_kind import FailureKind
+from gentianlink.node.failure_kind import FAILURE_KINDS
 from gentianlink.node.log import get_logger
-from gentianlink.node.proxy.connection_pool import (
-    MAX_IDLE_MS,
-    MAX_IDLE_NON_REPEATABLE_MS,
-)
+from gentianlink.node.proxy.connection_pool import get_max_idle_ms
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
@@ -31,12 +28,6 @@
 # Calls in less time than this can't be executed once more.
 MIN_RETRY_MS = 30.0
 
-FAILURE_KINDS = {
-    Reason.TARGET_UNREACHABLE: FailureKind.REFUSED,
-    Reason.TARGET_LOST: FailureKind.RESET,
-    Reason.TARGET_SILENT: FailureKind.SILENT,
-}
-
 
 class CallRouter:
     """Sends the calls that arrive at this node on their way.
@@ -124,6 +115,8 @@
         failed = None
         while True:
             now_ms = get_monotonic_ms()
+            own_id = self._directory.own.node_id
+            self._load_view.report(own_id, self._runner.get_load(), now_ms)
             choice = progress.choose(
                 functools.partial(self._list_candidates, service, now_ms)
             )
@@ -154,8 +147,6 @@
         return (failed, None) if failed else (None, progress.sum_up())
 
     def _list_candidates(self, service, now_ms, is_near_only):
-        own_id = self._directory.own.node_id
-        self._load_view.report(own_id, self._runner.get_load(), now_ms)
         return self._directory.get_candidates(
             service,
             self._load_view,
@@ -214,7 +205,7 @@
     async def _forward(self, call, rule, candidate, hop, writer):
         record = self._directory.get(candidate.node_id)
         address, _, port = record.forward_address.rpartition(":")
-        max_idle_ms = MAX_IDLE_MS if hop.is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        max_idle_ms = get_max_idle_ms(hop.is_repeatable)
         try:
             stream = await self._pool.acquire(
                 address, int(port), get_monotonic_ms(), max_idle_ms
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -7,17 +7,17 @@
 """
 
 import asyncio
-import random
 
 import attrs
 
 from gentianlink.core.errors import CodecError, HistoryUnavailable, PlatformError
 from gentianlink.node.log import get_logger
+from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.peer_codec import decode_record, encode_record
 
 _LOG = get_logger("rows")
 
-FIRST_BACKOFF_MS = 200
+FIRST_BACKOFF_MS = 400
 MAX_BACKOFF_MS = 1500
 # Changes within this time are written together.
 WRITE_DELAY_S = 0.02
@@ -89,8 +89,9 @@
                 attempt += 1
                 if attempt == 1:
                     _LOG.warning(failure, why=type(error).__name__, detail=str(error))
-            limit_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(attempt, 8))
-            await asyncio.sleep(random.uniform(0.5, 1.0) * limit_ms / 1000)
+            await asyncio.sleep(
+                compute_backoff_s(attempt, FIRST_BACKOFF_MS, MAX_BACKOFF_MS)
+            )
 
     async def _read(self):
         changes = await self._read_changes()
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -206,21 +206,22 @@
         except CodecError as error:
             _LOG.warning("message of a peer refused", why=str(error))
             return Reply(STATUS_BAD_REQUEST)
-        known = self._directory.get(message.node_id)
-        link = None if known is None else self._links.get(known.peer_address)
-        is_new = self._take(message, link)
+        is_new = self._take(message, self._find_link(message.node_id))
         addresses = ()
         if is_new:
             others = self._list_others(message.node_id)
             addresses = tuple(item.peer_address for item in others)
         reply = self._make_message(message.node_id, message.known_order, addresses)
-        sender = self._directory.get(message.node_id)
-        link = None if sender is None else self._links.get(sender.peer_address)
+        link = self._find_link(message.node_id)
         if link is not None:
             # If the reply is lost, the other node begins anew and says what it has.
             link.acknowledged_order = self._directory.own.order
         return Reply(body=encode_message(reply))
 
+    def _find_link(self, node_id):
+        record = self._directory.get(node_id)
+        return None if record is None else self._links.get(record.peer_address)
+
     def _list_others(self, node_id):
         records = self._directory.get_records()
         return [record for record in records if record.node_id != node_id]
@@ -300,8 +301,7 @@
         bool
             True if the call was not run and never will be; False if this is unknown.
         """
-        record = self._directory.get(node_id)
-        link = None if record is None else self._links.get(record.peer_address)
+        link = self._find_link(node_id)
         if link is None:
             return False
         body = orjson.dumps({"id": request_id, "incarnation": incarnation})
--- a/packages/sidecar/src/gentianlink/sidecar/rule_change.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_change.py
@@ -7,6 +7,7 @@
 
 from gentianlink.core.rule import Rule
 from gentianlink.core.rule_set import RuleSet
+from gentianlink.ops.compare_items import compare_items
 
 
 @attrs.frozen
@@ -53,13 +54,12 @@
     RuleChange
         Gives `after` when it is applied to `before`.
     """
-    old = before.rules
-    new = after.rules
+    rules, dropped = compare_items(before.rules, after.rules)
     return RuleChange(
         base=before.version,
         version=after.version,
-        rules=tuple(rule for place, rule in new.items() if old.get(place) != rule),
-        dropped=tuple(place for place in old if place not in new),
+        rules=rules,
+        dropped=dropped,
         services=tuple(sorted(after.services)),
         idle_timeout_ms=after.idle_timeout_ms,
     )
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -1,12 +1,12 @@
 """Follow the versions of the catalogue, in the operator's table or at another node."""
 
 import asyncio
-import random
 
 from gentianlink.core.errors import HistoryUnavailable, PlatformError
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.platform.wire import CATALOGUE_KEY
+from gentianlink.sidecar.backoff import compute_backoff_s
 
 _LOG = get_logger("feed")
 
@@ -64,7 +64,7 @@
 
     @property
     def is_lost(self):
-        """Whether the last call to the table service, or to a reader, failed."""
+        """Whether this node reads the table and its last call to it failed."""
         return self._is_lost
 
     @property
@@ -76,9 +76,10 @@
         """Follow the catalogue until cancelled."""
         while True:
             reader = self._readers.choose(get_monotonic_ms())
+            pause_s = 0.0
             try:
                 if reader is None:
-                    await self._read_table()
+                    pause_s = await self._read_table()
                 else:
                     await self._follow(reader)
                 self._note_answer()
@@ -87,8 +88,10 @@
                 self._revision = None
             except PlatformError as error:
                 await self._note_failure(reader, error)
+            await asyncio.sleep(pause_s)
 
     async def _read_table(self):
+        """Take in a change of the table; return how long to leave it alone then."""
         if not self._is_reading:
             _LOG.info("reading the table", version=self._holder.version)
         if self._revision is None:
@@ -102,9 +105,7 @@
             if row.key == CATALOGUE_KEY and not row.is_removed:
                 size += len(row.value)
                 self._holder.take(row.value, "table")
-        if size:
-            self._note_answer()
-            await asyncio.sleep(compute_pause_s(size, self._link_mbps))
+        return compute_pause_s(size, self._link_mbps)
 
     async def _follow(self, reader):
         if self._is_reading:
@@ -136,7 +137,9 @@
             return
         self._is_lost = True
         self._attempt += 1
-        await asyncio.sleep(_compute_backoff_ms(self._attempt) / 1000)
+        await asyncio.sleep(
+            compute_backoff_s(self._attempt, FIRST_BACKOFF_MS, MAX_BACKOFF_MS)
+        )
 
     async def run_peers(self, get_newest_version, period_s):
         """Take a version from a peer when the feed does not bring it in time.
@@ -185,8 +188,3 @@
     """
     transfer_s = size * ENCODED_SHARE * BITS_PER_BYTE / (link_mbps * 1e6)
     return min(MAX_PAUSE_S, PAUSE_SHARE * transfer_s)
-
-
-def _compute_backoff_ms(attempt):
-    limit_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(attempt - 1, 10))
-    return random.uniform(0.5, 1.0) * limit_ms
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -3,10 +3,7 @@
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
-from gentianlink.node.proxy.connection_pool import (
-    MAX_IDLE_MS,
-    MAX_IDLE_NON_REPEATABLE_MS,
-)
+from gentianlink.node.proxy.connection_pool import get_max_idle_ms
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
@@ -163,7 +160,7 @@
             edit_headers,
             call.method == "HEAD",
         )
-        max_idle_ms = MAX_IDLE_MS if hop.is_repeatable else MAX_IDLE_NON_REPEATABLE_MS
+        max_idle_ms = get_max_idle_ms(hop.is_repeatable)
         refusal = await self._send(call, hop, buffer, request_id, max_idle_ms)
         return (buffer, None) if refusal is None else (None, refusal)
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -30,6 +30,21 @@
     return make_answer(request, b"failed", "500 Internal Server Error")
 
 
+async def close(request, connection):
+    """Close the connection of a call without an answer, as a target behaves."""
+
+
+async def shed(request, connection):
+    """Say that a call was not executed, as a target behaves."""
+    return make_not_executed(request)
+
+
+async def grow_budget(node, path, calls, *details):
+    """Make calls through a node: its retry budget grows with those it has seen."""
+    for number in range(calls):
+        await node.call(path, f"before-{number}", *details)
+
+
 class TestAnswers:
     def test_call_reaches_the_target_of_another_node(self):
         async def work(world):
@@ -140,13 +155,8 @@
 
 class TestRepeats:
     def test_repeatable_call_goes_to_another_target(self):
-        async def close(request, connection):
-            return None
-
         async def work(world):
-            # The budget grows with the calls that a node has seen.
-            for number in range(60):
-                await world.nodes[2].call("/read/1", f"before-{number}")
+            await grow_budget(world.nodes[2], "/read/1", 60)
             world.nodes[0].target.set_behaviour(close)
             # News of a load may favour the other target for a second.
             for number in range(150):
@@ -164,8 +174,7 @@
 
     def test_repeatable_call_that_a_target_failed_goes_to_another(self):
         async def work(world):
-            for number in range(60):
-                await world.nodes[0].call("/read/1", f"before-{number}")
+            await grow_budget(world.nodes[0], "/read/1", 60)
             world.nodes[0].target.set_behaviour(fail)
             answer = await world.nodes[0].call("/read/1", "id-1")
             assert answer.status == 200
@@ -175,8 +184,7 @@
 
     def test_failure_of_the_only_target_is_relayed(self):
         async def work(world):
-            for number in range(60):
-                await world.nodes[0].call("/read/1", f"before-{number}")
+            await grow_budget(world.nodes[0], "/read/1", 60)
             world.nodes[0].target.set_behaviour(fail)
             answer = await world.nodes[0].call("/read/1", "id-1")
             assert (answer.status, answer.body) == (500, b"failed")
@@ -185,8 +193,7 @@
 
     def test_call_that_may_run_once_is_not_repeated_after_a_failure(self):
         async def work(world):
-            for number in range(60):
-                await world.nodes[0].call("/read/1", f"before-{number}")
+            await grow_budget(world.nodes[0], "/read/1", 60)
             world.nodes[0].target.set_behaviour(fail)
             answer = await world.nodes[0].call("/buy/1", "id-1", "POST")
             assert answer.status == 500
@@ -195,9 +202,6 @@
         run(work)
 
     def test_call_that_may_run_once_is_never_sent_again(self):
-        async def close(request, connection):
-            return None
-
         async def work(world):
             for node in world.nodes:
                 node.target.set_behaviour(close)
@@ -208,13 +212,8 @@
         run(work)
 
     def test_call_that_a_target_did_not_run_goes_to_another(self):
-        async def shed(request, connection):
-            return make_not_executed(request)
-
         async def work(world):
-            # The budget grows with the calls that were seen.
-            for number in range(30):
-                await world.nodes[1].call("/buy/1", f"before-{number}", "POST", b"x")
+            await grow_budget(world.nodes[1], "/buy/1", 30, "POST", b"x")
             world.nodes[0].target.set_behaviour(shed)
             answer = await world.nodes[0].call("/buy/1", "id-1", "POST", b"x")
             assert answer.status in (200, 503)
@@ -224,9 +223,6 @@
         run(work)
 
     def test_refusal_says_when_to_come_back_only_if_not_run(self):
-        async def shed(request, connection):
-            return make_not_executed(request)
-
         async def work(world):
             world.nodes[0].target.set_behaviour(shed)
             answer = await world.nodes[0].call("/buy/1", "id-1", "POST", b"x")
--- a/packages/testing/src/gentianlink/testing/deployment_model.py
+++ b/packages/testing/src/gentianlink/testing/deployment_model.py
@@ -6,14 +6,19 @@
 
 import asyncio
 import collections
+import functools
 import random
 
 from gentianlink.sidecar.call_progress import CallProgress
 from gentianlink.sidecar.choose import Candidate
-from gentianlink.sidecar.hop import Hop
 from gentianlink.sidecar.load_view import LoadView
 from gentianlink.sidecar.priority_gate import PriorityGate
-from gentianlink.testing.gate_model import LoadResult, list_arrivals
+from gentianlink.testing.gate_model import (
+    LoadResult,
+    execute,
+    list_arrivals,
+    play_caller,
+)
 from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
 
 # One way between two nodes, in seconds.
@@ -81,27 +86,17 @@
     random.seed(seed)
     deployment = _Deployment(nodes, slots, rng)
     results = collections.defaultdict(LoadResult)
-    callers = [
-        asyncio.create_task(_call(deployment, kind, at_s, work_ms, results[kind.name]))
-        for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng)
-    ]
+    callers = []
+    for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng):
+        offer = functools.partial(_offer_somewhere, deployment, kind, work_ms)
+        callers.append(play_caller(kind, at_s, results[kind.name], offer))
     await asyncio.gather(*callers)
     return dict(results), deployment.tries / len(callers)
 
 
-async def _call(deployment, kind, at_s, work_ms, result):
-    await asyncio.sleep(at_s)
-    result.asked += 1
-    first_ms = get_virtual_ms()
-    for attempt in range(kind.returns + 1):
-        node = deployment.rng.randrange(len(deployment.gates))
-        refusal = await _route(deployment, node, kind, first_ms, work_ms)
-        if refusal is None:
-            result.note_answer(get_virtual_ms() - first_ms, kind)
-            return
-        if attempt < kind.returns:
-            await asyncio.sleep(refusal.retry_after_ms / 1000)
-    result.refused += 1
+async def _offer_somewhere(deployment, kind, work_ms, first_ms):
+    node = deployment.rng.randrange(len(deployment.gates))
+    return await _route(deployment, node, kind, first_ms, work_ms)
 
 
 async def _route(deployment, node, kind, first_ms, work_ms):
@@ -129,22 +124,7 @@
     gate = deployment.gates[int(name)]
     view.begin(name)
     await asyncio.sleep(WAY_S)
-    now_ms = get_virtual_ms()
-    left_ms = kind.target_latency_ms - (now_ms - first_ms)
-    hop = Hop(
-        incarnation=1,
-        target_id=name,
-        kind=kind.name,
-        priority=kind.priority,
-        latency_ms=left_ms,
-        target_latency_ms=kind.target_latency_ms,
-        may_wait=choice.may_wait,
-        is_repeatable=True,
-    )
-    refusal = await gate.enter(hop, first_ms + kind.deadline_ms, now_ms)
-    if refusal is None:
-        await asyncio.sleep(work_ms / 1000)
-        gate.leave(hop, work_ms, get_virtual_ms())
+    refusal = await execute(gate, kind, work_ms, first_ms, choice.may_wait, name)
     load = gate.get_load()
     await asyncio.sleep(WAY_S)
     view.end(name)
--- a/packages/testing/src/gentianlink/testing/gate_model.py
+++ b/packages/testing/src/gentianlink/testing/gate_model.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import functools
 import random
 
 import attrs
@@ -107,10 +108,10 @@
 async def _play(gate, kinds, length_s, seed):
     rng = random.Random(seed)
     results = collections.defaultdict(LoadResult)
-    callers = [
-        asyncio.create_task(_call(gate, kind, at_s, work_ms, results[kind.name]))
-        for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng)
-    ]
+    callers = []
+    for at_s, kind, work_ms in list_arrivals(kinds, length_s, rng):
+        offer = functools.partial(execute, gate, kind, work_ms)
+        callers.append(play_caller(kind, at_s, results[kind.name], offer))
     await asyncio.gather(*callers)
     return dict(results)
 
@@ -141,30 +142,72 @@
     return arrivals
 
 
-async def _call(gate, kind, at_s, work_ms, result):
+async def play_caller(kind, at_s, result, offer):
+    """Play one caller, who comes back when it is refused.
+
+    Parameters
+    ----------
+    kind : LoadKind
+        Kind of the call.
+    at_s : float
+        Arrival in seconds.
+    result : LoadResult
+        Counts what becomes of the call.
+    offer : callable
+        Coroutine function that takes the time of the first attempt in milliseconds
+        and returns the Refusal, None if the call was answered.
+    """
     await asyncio.sleep(at_s)
     result.asked += 1
     first_ms = get_virtual_ms()
     for attempt in range(kind.returns + 1):
         now_ms = get_virtual_ms()
-        left_ms = kind.target_latency_ms - (now_ms - first_ms)
-        hop = Hop(
-            1,
-            "target",
-            kind.name,
-            kind.priority,
-            left_ms,
-            kind.target_latency_ms,
-            True,
-            True,
-        )
-        refusal = await gate.enter(hop, first_ms + kind.deadline_ms, now_ms)
+        refusal = await offer(first_ms)
         if refusal is None:
-            await asyncio.sleep(work_ms / 1000)
-            gate.leave(hop, work_ms, get_virtual_ms())
             result.note_answer(get_virtual_ms() - first_ms, kind)
             return
         result.refusal_waits_ms.append(get_virtual_ms() - now_ms)
         if attempt < kind.returns:
             await asyncio.sleep(refusal.retry_after_ms / 1000)
     result.refused += 1
+
+
+async def execute(gate, kind, work_ms, first_ms, may_wait=True, target_id="target"):
+    """Take a slot of a gate and hold it for the time of the work.
+
+    Parameters
+    ----------
+    gate : PriorityGate
+        The gate.
+    kind : LoadKind
+        Kind of the call.
+    work_ms : float
+        Work in milliseconds.
+    first_ms : float
+        Time of the caller's first attempt in milliseconds.
+    may_wait : bool, optional
+        Whether the call may wait for a slot.
+    target_id : str, optional
+        Name of the target.
+
+    Returns
+    -------
+    Refusal or None
+        None if the target has done the work.
+    """
+    now_ms = get_virtual_ms()
+    hop = Hop(
+        incarnation=1,
+        target_id=target_id,
+        kind=kind.name,
+        priority=kind.priority,
+        latency_ms=kind.target_latency_ms - (now_ms - first_ms),
+        target_latency_ms=kind.target_latency_ms,
+        may_wait=may_wait,
+        is_repeatable=True,
+    )
+    refusal = await gate.enter(hop, first_ms + kind.deadline_ms, now_ms)
+    if refusal is None:
+        await asyncio.sleep(work_ms / 1000)
+        gate.leave(hop, work_ms, get_virtual_ms())
+    return refusal
--- a/packages/testing/src/gentianlink/testing/platform_tables.py
+++ b/packages/testing/src/gentianlink/testing/platform_tables.py
@@ -3,19 +3,17 @@
 import asyncio
 import bisect
 
+from gentianlink.testing.table_state import TableState
 
-class PlatformTables:
-    """Rows of all tables, and waits for their changes."""
+
+class PlatformTables(TableState):
+    """Rows of all tables by table and key, and waits for their changes."""
 
     def __init__(self):
-        self._rows = {}
-        self._keys = []
+        super().__init__()
         self._history = []
         self._changed = asyncio.Event()
-        self.revision = 0
         self.history_start = 0
-        self.reads = 0
-        self.writes = 0
 
     def find(self, place):
         """Return key, revision and value of a row, None if there is none.
@@ -62,7 +60,7 @@
         return rows
 
     def transact(self, checks, puts, deletes=()):
-        """Write all rows, or none if a check fails.
+        """Write all rows, or none if a check fails, and wake who waits for changes.
 
         Parameters
         ----------
@@ -80,24 +78,14 @@
         revision : int
             Revision of the transaction.
         """
-        self.writes += 1
-        for place, revision in checks:
-            found = self._rows.get(place, (0, b""))[0]
-            if found != revision:
-                return (place, found), 0
-        self.revision += 1
-        for place, value in puts:
-            if place not in self._rows:
-                bisect.insort(self._keys, place)
-            self._rows[place] = (self.revision, value)
-            self._history.append((self.revision, place, value))
-        for place in deletes:
-            if self._rows.pop(place, None) is not None:
-                self._keys.remove(place)
-                self._history.append((self.revision, place, None))
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return None, self.revision
+        conflict, revision = super().transact(checks, puts, deletes)
+        if conflict is None:
+            self._changed.set()
+            self._changed = asyncio.Event()
+        return conflict, revision
+
+    def _note_change(self, key, value):
+        self._history.append((self.revision, key, value))
 
     def forget_history(self):
         """Forget all changes so far, as the platform may at any time."""
--- a/packages/testing/src/gentianlink/testing/table_state.py
+++ b/packages/testing/src/gentianlink/testing/table_state.py
@@ -9,7 +9,7 @@
     def __init__(self):
         self._rows = {}
         self._keys = []
-        self._revision = 0
+        self.revision = 0
         self.reads = 0
         self.writes = 0
 
@@ -55,12 +55,17 @@
             found = self._rows.get(key, (0, ""))[0]
             if found != revision:
                 return (key, found), 0
-        self._revision += 1
+        self.revision += 1
         for key, value in puts:
             if key not in self._rows:
                 bisect.insort(self._keys, key)
-            self._rows[key] = (self._revision, value)
+            self._rows[key] = (self.revision, value)
+            self._note_change(key, value)
         for key in deletes:
             if self._rows.pop(key, None) is not None:
                 self._keys.remove(key)
-        return None, self._revision
+                self._note_change(key, None)
+        return None, self.revision
+
+    def _note_change(self, key, value):
+        """Take in that a row was written, or removed if the value is None."""
