Log and measure how long an announced version is missing

What callers saw: 404 for a route 2.1 s after its version was confirmed.

A line 'version overdue' for each fetch from a peer, with the newest announced version, the age of the oldest missing one and the age of the feed's unanswered call; metrics for the same values. When a version is fetched has not changed.

--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -17,6 +17,7 @@
     "retries_total": "Further sendings of calls, by service and whether granted.",
     "gate_refusals_total": "Calls that the own gate refused, by rule and reason.",
     "versions_refused_total": "Catalogue versions that could not be read.",
+    "version_fetches_total": "Versions asked of a node because the feed was late.",
     "store_calls_total": "Calls to the table service by kind.",
     "log_lines_left_out_total": "Log lines that were not written, by cause.",
 }
@@ -27,6 +28,9 @@
 }
 GAUGES = {
     "catalogue_version": "Catalogue version in force.",
+    "catalogue_newest_version": "Newest version that another node has in force.",
+    "catalogue_lag_seconds": "Time for which a version of another node is missing.",
+    "feed_call_seconds": "Age of the unanswered call to the source of versions.",
     "gate_in_flight": "Calls that the target executes.",
     "gate_waiting": "Calls that wait for a slot.",
     "peers": "Other nodes that are known.",
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -7,6 +7,7 @@
 from gentianlink.node.log import get_logger
 from gentianlink.platform.wire import CATALOGUE_KEY
 from gentianlink.sidecar.backoff import compute_backoff_s
+from gentianlink.sidecar.version_lag import VersionLag
 
 _LOG = get_logger("feed")
 
@@ -62,6 +63,14 @@
         self._announced_version = 0
         self._announced_since_ms = 0.0
         self._last_peer_fetch_ms = 0.0
+        self._lag = VersionLag()
+        self._peer_fetches = 0
+        self._call_started_ms = None
+
+    @property
+    def peer_fetches(self):
+        """Number of attempts to fetch a version because the feed was late."""
+        return self._peer_fetches
 
     @property
     def is_lost(self):
@@ -73,10 +82,19 @@
         """Whether this node reads the table and the table service answers."""
         return self._is_reading and not self._is_lost
 
+    def compute_lag_ms(self, now_ms):
+        """Return how long a version that another node has is missing here, or 0."""
+        return self._lag.compute_ms(now_ms)
+
+    def compute_call_age_ms(self, now_ms):
+        """Return how long the call to the source has been unanswered, or 0."""
+        return 0.0 if self._call_started_ms is None else now_ms - self._call_started_ms
+
     async def run(self):
         """Follow the catalogue until cancelled."""
         while True:
-            reader = self._reader_selector.choose(get_monotonic_ms())
+            self._call_started_ms = get_monotonic_ms()
+            reader = self._reader_selector.choose(self._call_started_ms)
             pause_s = 0.0
             try:
                 if reader is None:
@@ -89,6 +107,7 @@
                 self._revision = None
             except PlatformError as error:
                 await self._note_failure(reader, error)
+            self._call_started_ms = None
             await asyncio.sleep(pause_s)
 
     async def _read_table(self):
@@ -156,10 +175,26 @@
         """
         while True:
             await asyncio.sleep(period_s)
-            if self._is_overdue(get_newest_version(), get_monotonic_ms()):
-                data = await self._exchange.fetch_rules(self._holder.version)
-                if data is not None:
-                    self._holder.install_delta(data, "peer")
+            now_ms = get_monotonic_ms()
+            newest_version = get_newest_version()
+            self._lag.update(newest_version, self._holder.version, now_ms)
+            if self._is_overdue(newest_version, now_ms):
+                await self._fetch_from_peer(newest_version, now_ms)
+
+    async def _fetch_from_peer(self, newest_version, now_ms):
+        self._peer_fetches += 1
+        _LOG.info(
+            "version overdue",
+            version=self._holder.version,
+            newest=newest_version,
+            late_ms=round(self.compute_lag_ms(now_ms)),
+            call_age_ms=round(self.compute_call_age_ms(now_ms)),
+            is_reading=self._is_reading,
+            is_lost=self._is_lost,
+        )
+        data = await self._exchange.fetch_rules(self._holder.version)
+        if data is not None:
+            self._holder.install_delta(data, "peer")
 
     def _is_overdue(self, version, now_ms):
         if self._is_lost and now_ms - self._last_peer_fetch_ms >= PEER_FETCH_PERIOD_MS:
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -278,9 +278,11 @@
         self._pool.close()
 
     def _render_metrics(self):
+        now_ms = get_monotonic_ms()
         tables = (self._operator_table, self._nodes_table)
         totals = {
             ("versions_refused_total", ()): self._holder.refused,
+            ("version_fetches_total", ()): self._feed.peer_fetches,
             ("store_calls_total", (("kind", "read"),)): sum(t.reads for t in tables),
             ("store_calls_total", (("kind", "write"),)): sum(t.writes for t in tables),
         }
@@ -292,6 +294,9 @@
             totals[key] = self._limiter.left_out
         gauges = {
             "catalogue_version": self._holder.version,
+            "catalogue_newest_version": self._directory.get_newest_version(),
+            "catalogue_lag_seconds": self._feed.compute_lag_ms(now_ms) / 1000,
+            "feed_call_seconds": self._feed.compute_call_age_ms(now_ms) / 1000,
             "gate_in_flight": self._local_target.gate.in_flight,
             "gate_waiting": self._local_target.gate.waiting,
             "peers": self._directory.count - 1,
