Don't restart the grace period of a late version with each newer one

What callers saw: 404 for a route 2.1 s after its version was confirmed.

Cause: a node fetches a version from a peer if the feed has not delivered it 350 ms after it was announced. Each newer announcement restarted these 350 ms, so in a series with less than that between two versions a node with a silent source never fetched any. Class: a timeout that each new event of the same kind restarts.

Change: the age of the oldest announced version that is missing decides (VersionLag); only its arrival starts a new period. So an announced version waits for one period of the version before it and one of its own. Same class elsewhere: the batching of records and pushes, the ejection of targets and the object reads of the head reader keep their first due time and don't restart it.

--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -60,8 +60,6 @@
         self._is_reading = False
         self._is_lost = False
         self._attempt = 0
-        self._announced_version = 0
-        self._announced_since_ms = 0.0
         self._last_peer_fetch_ms = 0.0
         self._lag = VersionLag()
         self._peer_fetches = 0
@@ -178,7 +176,7 @@
             now_ms = get_monotonic_ms()
             newest_version = get_newest_version()
             self._lag.update(newest_version, self._holder.version, now_ms)
-            if self._is_overdue(newest_version, now_ms):
+            if self._is_overdue(now_ms):
                 await self._fetch_from_peer(newest_version, now_ms)
 
     async def _fetch_from_peer(self, newest_version, now_ms):
@@ -196,17 +194,14 @@
         if data is not None:
             self._holder.install_delta(data, "peer")
 
-    def _is_overdue(self, version, now_ms):
+    def _is_overdue(self, now_ms):
         if self._is_lost and now_ms - self._last_peer_fetch_ms >= PEER_FETCH_PERIOD_MS:
             self._last_peer_fetch_ms = now_ms
             return True
-        if version <= self._holder.version:
-            return False
-        if version != self._announced_version:
-            self._announced_version = version
-            self._announced_since_ms = now_ms
-        is_waiting = now_ms - self._announced_since_ms < FEED_GRACE_MS
-        return self._is_lost or self._holder.version == 0 or not is_waiting
+        is_waiting = self._lag.compute_ms(now_ms) < FEED_GRACE_MS
+        return self._lag.is_behind and (
+            self._is_lost or self._holder.version == 0 or not is_waiting
+        )
 
 
 def compute_pause_s(size, link_mbps):
--- a/packages/sidecar/src/gentianlink/sidecar/version_lag.py
+++ b/packages/sidecar/src/gentianlink/sidecar/version_lag.py
@@ -12,6 +12,11 @@
         self._awaited_version = 0
         self._announced_ms = 0.0
 
+    @property
+    def is_behind(self):
+        """Whether an announced version is missing."""
+        return self._awaited_version != 0
+
     def update(self, newest_version, own_version, now_ms):
         """Take the newest announced version and this node's into account.
 
@@ -42,4 +47,4 @@
         float
             Time in milliseconds; 0 if no announced version is missing.
         """
-        return now_ms - self._announced_ms if self._awaited_version else 0.0
+        return now_ms - self._announced_ms if self.is_behind else 0.0
