Follow the other reader when one has nothing newer

What callers saw: 404 for a route 2.1 s after its version was confirmed; the two nodes followed readers that the platform did not answer.

Cause: a reader whose poll of the table is unanswered still answers its followers, with nothing newer, and they took that as proof that they are current. Class: an answer that shows that a peer is alive taken as proof that its knowledge is current.

Change: after a long poll of 1 s without a newer version a node polls the other reader of its data centre, which has its own way to the table. With one of the two readers cut off, a version is at most one long poll late, also where no call and no exchange tells of it. The number of polls is the same. If both readers are silent, the fetch from a peer remains.

--- a/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
@@ -31,6 +31,7 @@
         self._directory = directory
         self._suspended = {}
         self._failures = collections.Counter()
+        self._turn = 0
 
     def suspend(self, node_id, now_ms):
         """Exclude a node from selection for a while because it failed as a reader.
@@ -56,6 +57,14 @@
         """
         self._failures.pop(node_id, None)
 
+    def follow_next(self):
+        """Follow the next reader from now on, because the last one had nothing newer.
+
+        A reader can't tell a quiet catalogue from a table that does not answer it, and
+        another reader has its own way to the table.
+        """
+        self._turn += 1
+
     def choose(self, now_ms):
         """Return the reader to follow.
 
@@ -81,7 +90,7 @@
         readers = ranked[:READERS_PER_DATA_CENTRE]
         if own in readers:
             return None
-        return readers[zlib.crc32(own.node_id.encode()) % len(readers)]
+        return readers[(zlib.crc32(own.node_id.encode()) + self._turn) % len(readers)]
 
 
 def _get_rank(record):
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -133,6 +133,8 @@
         self._reader_selector.note_served(reader.node_id)
         if data:
             self._holder.install_delta(data, "reader")
+        else:
+            self._reader_selector.follow_next()
 
     def _note_success(self):
         if self._is_lost:
--- a/packages/sidecar/src/gentianlink/sidecar/test_rules.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rules.py
@@ -194,6 +194,15 @@
         assert readers.choose(1.0) is None
         assert readers.choose(SUSPEND_MS + 1.0) == followed
 
+    def test_reader_without_news_is_followed_by_the_next_one(self):
+        readers, _ = self.make("n-5", {f"n-{i}": 2.5 for i in range(9)})
+        followed = []
+        for _ in range(3):
+            followed.append(readers.choose(0.0).node_id)
+            readers.follow_next()
+        assert sorted(followed[:2]) == ["n-0", "n-1"]
+        assert followed[2] == followed[0]
+
     def test_repeated_failures_lengthen_the_suspension(self):
         """A reader loses the platform for ten seconds while another one keeps it."""
         links = {f"n-{i}": 2.5 for i in range(3)}
