--- a/packages/platform/src/gentianlink/platform/row_changes.py
+++ b/packages/core/src/gentianlink/core/row_changes.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gentianlink.platform.row_change import RowChange
+from gentianlink.core.row_change import RowChange
 
 
 @attrs.frozen
--- a/packages/node/src/gentianlink/node/claims/direct_writer.py
+++ b/packages/node/src/gentianlink/node/claims/direct_writer.py
@@ -1,6 +1,6 @@
 """Write each claim row in its own transaction."""
 
-from gentianlink.platform.row import Row
+from gentianlink.core.row import Row
 
 
 class DirectWriter:
--- a/packages/node/src/gentianlink/node/claims/group_writer.py
+++ b/packages/node/src/gentianlink/node/claims/group_writer.py
@@ -9,8 +9,8 @@
     PlatformOutcomeUnknown,
     WriteConflict,
 )
+from gentianlink.core.row import Row
 from gentianlink.node.background import start_task
-from gentianlink.platform.row import Row
 
 MAX_CONCURRENT_TRANSACTIONS = 2
 MAX_BATCH_CHARACTERS = 256 * 1024
--- a/packages/node/src/gentianlink/node/claims/test_cleaner.py
+++ b/packages/node/src/gentianlink/node/claims/test_cleaner.py
@@ -1,13 +1,13 @@
 import asyncio
 
 from gentianlink.core.codec import decode, encode
+from gentianlink.core.row import Row
 from gentianlink.node.claims.claim import Claim
 from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.claim_state import ClaimState
 from gentianlink.node.claims.cleaner import Cleaner
 from gentianlink.node.claims.recorded_answer import RecordedAnswer
 from gentianlink.node.claims.retention import get_claim_key
-from gentianlink.platform.row import Row
 from gentianlink.testing.table_state import TableState
 
 ANSWER = RecordedAnswer(200, (("A", "b"),), "body")
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -11,11 +11,11 @@
     PlatformAnswerInvalid,
     WriteConflict,
 )
+from gentianlink.core.row import Row
+from gentianlink.core.row_change import RowChange
+from gentianlink.core.row_changes import RowChanges
 from gentianlink.platform import wire
 from gentianlink.platform.json_answer import decode_json
-from gentianlink.platform.row import Row
-from gentianlink.platform.row_change import RowChange
-from gentianlink.platform.row_changes import RowChanges
 from gentianlink.platform.service_connections import ServiceConnections
 
 STATUS_OK = 200
--- a/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
@@ -5,8 +5,8 @@
 import pytest
 
 from gentianlink.core.errors import PlatformOutcomeUnknown, PlatformUnavailable
-from gentianlink.platform.row_change import RowChange
-from gentianlink.platform.row_changes import RowChanges
+from gentianlink.core.row_change import RowChange
+from gentianlink.core.row_changes import RowChanges
 from gentianlink.platform.table_client import LONG_POLL_MARGIN_MS
 from gentianlink.platform.wire import CATALOGUE_KEY
 from gentianlink.sidecar import rule_feed
--- a/packages/store/src/gentianlink/store/catalogue_store.py
+++ b/packages/store/src/gentianlink/store/catalogue_store.py
@@ -18,9 +18,9 @@
     WriteConflict,
 )
 from gentianlink.core.head import Head
+from gentianlink.core.row import Row
 from gentianlink.ops.delta import compute_delta, format_delta
 from gentianlink.ops.validate_catalogue import validate_catalogue
-from gentianlink.platform.row import Row
 from gentianlink.store.catalogue_reader import CatalogueReader
 from gentianlink.store.names import (
     HEAD_KEY,
--- a/packages/store/src/gentianlink/store/test_node_rows.py
+++ b/packages/store/src/gentianlink/store/test_node_rows.py
@@ -1,7 +1,7 @@
 import asyncio
 import random
 
-from gentianlink.platform.row import Row
+from gentianlink.core.row import Row
 from gentianlink.store.names import NODE_PREFIX
 from gentianlink.store.node_rows import (
     MAX_ROWS_READ,
--- a/packages/testing/src/gentianlink/testing/claim_experiment.py
+++ b/packages/testing/src/gentianlink/testing/claim_experiment.py
@@ -20,6 +20,7 @@
 
 from gentianlink.core.codec import encode
 from gentianlink.core.errors import PlatformError, WriteConflict
+from gentianlink.core.row import Row
 from gentianlink.node.claims.claim import Claim
 from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.claim_state import ClaimState
@@ -30,7 +31,6 @@
 from gentianlink.node.claims.held_claim import HeldClaim
 from gentianlink.node.claims.recorded_answer import RecordedAnswer
 from gentianlink.node.claims.settler import Settler
-from gentianlink.platform.row import Row
 from gentianlink.platform.table_client import TableClient
 from gentianlink.testing.fleet import Fleet
 from gentianlink.testing.table_limits import TableLimits
--- a/packages/testing/src/gentianlink/testing/claims/fake_table.py
+++ b/packages/testing/src/gentianlink/testing/claims/fake_table.py
@@ -1,7 +1,7 @@
 """Stand-in of the table service for one node of a simulation."""
 
 from gentianlink.core.errors import WriteConflict
-from gentianlink.platform.row import Row
+from gentianlink.core.row import Row
 
 
 class FakeTable:
--- a/packages/testing/src/gentianlink/testing/fake_platform.py
+++ b/packages/testing/src/gentianlink/testing/fake_platform.py
@@ -8,7 +8,7 @@
     PlatformUnavailable,
     WriteConflict,
 )
-from gentianlink.platform.row import Row
+from gentianlink.core.row import Row
 from gentianlink.testing.table_state import TableState
 
 
