Read the rate limit that a target names, log it and show it as a metric

What callers saw: nothing; a target that had named a limit of 6.1 calls a second got 78 calls in 4 s, allowed 42.

No log and no metric says whether an answer names a limit. The adapter decodes the header once; LocalTarget keeps the limit in force, until answers have named none for a second, as answers of several connections may arrive out of order; a new process of the target starts without one. A malformed value is logged and the last good one kept. No decision depends on it yet.

--- a/packages/platform/src/gentianlink/platform/answer_codec.py
+++ b/packages/platform/src/gentianlink/platform/answer_codec.py
@@ -1,7 +1,9 @@
 """Classification of targets' answers by status and headers."""
 
 import enum
+import math
 
+from gentianlink.core.errors import CodecError
 from gentianlink.platform import wire
 
 SUCCESS_STATUSES = range(200, 300)
@@ -50,3 +52,39 @@
     ):
         return AnswerKind.BROKEN
     return AnswerKind.ANSWER
+
+
+def is_from_target(headers):
+    """Return whether the headers show that a target itself made the answer."""
+    return wire.ANSWER_SEAL in headers or wire.NOT_EXECUTED in headers
+
+
+def decode_rate_limit(headers):
+    """Return the rate limit that a target names in an answer.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers of the answer.
+
+    Returns
+    -------
+    float or None
+        Calls a second that the target accepts from all nodes together; None if the
+        answer names no limit.
+
+    Raises
+    ------
+    CodecError
+        If the value is not a single finite number of at least 0.
+    """
+    value = headers.get(wire.RATE_LIMIT)
+    if value is None:
+        return None
+    try:
+        rate_limit = float(value)
+    except ValueError as error:
+        raise CodecError(f"rate limit {value!r} is not a number") from error
+    if not math.isfinite(rate_limit) or rate_limit < 0:
+        raise CodecError(f"rate limit {value!r} is out of range")
+    return rate_limit
--- a/packages/platform/src/gentianlink/platform/test_codecs.py
+++ b/packages/platform/src/gentianlink/platform/test_codecs.py
@@ -1,8 +1,14 @@
 import orjson
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from gentianlink.core.errors import CodecError
-from gentianlink.platform.answer_codec import AnswerKind, classify_answer
+from gentianlink.platform import wire
+from gentianlink.platform.answer_codec import (
+    AnswerKind,
+    classify_answer,
+    decode_rate_limit,
+)
 from gentianlink.platform.bounds_codec import decode_bounds
 from gentianlink.platform.catalogue_codec import decode_rule_set
 from gentianlink.platform.heartbeat_codec import decode_heartbeat, decode_started_ms
@@ -153,3 +159,14 @@
     def test_value_that_is_not_a_number_raises_codec_error(self):
         with pytest.raises(CodecError):
             decode_bounds("drain_s=soon")
+
+
+class TestRateLimit:
+    def test_answer_names_the_limit_as_a_decimal_number(self):
+        assert decode_rate_limit(HTTPHeaders({wire.RATE_LIMIT: "6.1"})) == 6.1
+        assert decode_rate_limit(HTTPHeaders()) is None
+
+    @pytest.mark.parametrize("value", ["", "six", "-1", "nan", "inf", "6,7", "6.1,6.1"])
+    def test_malformed_limit_raises_codec_error(self, value):
+        with pytest.raises(CodecError):
+            decode_rate_limit(HTTPHeaders({wire.RATE_LIMIT: value}))
--- a/packages/platform/src/gentianlink/platform/wire.py
+++ b/packages/platform/src/gentianlink/platform/wire.py
@@ -27,3 +27,5 @@
 NOT_EXECUTED = "Not-Executed"
 # Service that originated the call.
 CALLING_SERVICE = "Caller-Service"
+# Calls a second that a target accepts from all nodes together.
+RATE_LIMIT = "Server-Limit"
--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -33,6 +33,7 @@
     "feed_call_seconds": "Age of the unanswered call to the source of versions.",
     "gate_in_flight": "Calls that the target executes.",
     "gate_waiting": "Calls that wait for a slot.",
+    "target_rate_limit": "Calls a second that the target accepts; -1 without limit.",
     "peers": "Other nodes that are known.",
     "store_lost": "1 if the last call to the table service failed.",
 }
--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -5,6 +5,7 @@
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.log import get_logger
+from gentianlink.sidecar.named_rate_limit import NamedRateLimit
 from gentianlink.sidecar.outlier_detector import OutlierDetector
 from gentianlink.sidecar.priority_gate import PriorityGate
 from gentianlink.sidecar.target_info import TargetInfo
@@ -33,6 +34,7 @@
         self._gate = PriorityGate(1)
         self._unreachable_until_ms = 0.0
         self._detector = OutlierDetector()
+        self._rate_limit = NamedRateLimit()
 
     @property
     def address(self):
@@ -49,6 +51,11 @@
         """Gate that limits the calls to the target's slots."""
         return self._gate
 
+    @property
+    def rate_limit(self):
+        """Calls a second that the target accepts, None if it names no limit."""
+        return self._rate_limit.per_s
+
     @property
     def is_ready(self):
         """Whether the target accepts new calls."""
@@ -173,6 +180,7 @@
             self._gate.close(Reason.DRAINING)
             self._gate = PriorityGate(info.slots)
             self._detector = OutlierDetector()
+            self._rate_limit = NamedRateLimit()
             self._unreachable_until_ms = 0.0
         elif previous.slots != info.slots:
             self._gate.resize(info.slots, now_ms)
@@ -198,6 +206,24 @@
             self._info = attrs.evolve(self._info, is_reachable=True)
             self._on_changed()
 
+    def note_rate_limit(self, target, rate_limit, now_ms):
+        """Apply the rate limit that an answer of the target names.
+
+        Parameters
+        ----------
+        target : TargetInfo
+            State of the target when the call was sent to it; an answer of a former
+            process is ignored.
+        rate_limit : float or None
+            Calls a second that the target accepts, None if the answer names no limit.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        if not _is_same_process(self._info, target):
+            return
+        if self._rate_limit.update(rate_limit, now_ms):
+            _LOG.info("target rate limit", target=target.target_id, per_s=rate_limit)
+
     def note_outcome(self, is_failure, now_ms):
         """Record the outcome of a call to the target.
 
@@ -234,9 +260,9 @@
         return now_ms >= self._unreachable_until_ms
 
 
-def _is_same_process(current, heartbeat):
-    same_id = current.target_id == heartbeat.target_id
-    return same_id and current.started_ms == heartbeat.started_ms
+def _is_same_process(current, other):
+    same_id = current.target_id == other.target_id
+    return same_id and current.started_ms == other.started_ms
 
 
 def _clear_volatile(info):
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -279,6 +279,7 @@
 
     def _render_metrics(self):
         now_ms = get_monotonic_ms()
+        rate_limit = self._local_target.rate_limit
         tables = (self._operator_table, self._nodes_table)
         totals = {
             ("versions_refused_total", ()): self._holder.refused,
@@ -299,6 +300,7 @@
             "feed_call_seconds": self._feed.compute_call_age_ms(now_ms) / 1000,
             "gate_in_flight": self._local_target.gate.in_flight,
             "gate_waiting": self._local_target.gate.waiting,
+            "target_rate_limit": -1.0 if rate_limit is None else rate_limit,
             "peers": self._directory.count - 1,
             "store_lost": int(self._feed.is_lost),
         }
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -1,5 +1,8 @@
 """Execute calls on the target beside this node, admitted by its gate."""
 
+import functools
+
+from gentianlink.core.errors import CodecError
 from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
@@ -7,6 +10,7 @@
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
+from gentianlink.platform.answer_codec import decode_rate_limit
 from gentianlink.sidecar.answer_buffer import AnswerBuffer
 from gentianlink.sidecar.send_call import send_call
 from gentianlink.sidecar.status import STALE_STATE_RETRY_MS, STATUS_SERVER_ERROR
@@ -159,7 +163,10 @@
         request_id = call.headers.get(wire.REQUEST_ID, "")
         buffer = AnswerBuffer(
             writer,
-            make_target_classifier(request_id),
+            make_target_classifier(
+                request_id,
+                functools.partial(self._note_headers, self._local_target.info),
+            ),
             edit_headers,
             call.method == "HEAD",
         )
@@ -167,6 +174,16 @@
         refusal = await self._send(call, hop, buffer, request_id, max_idle_ms)
         return (buffer, None) if refusal is None else (None, refusal)
 
+    def _note_headers(self, target, headers):
+        try:
+            rate_limit = decode_rate_limit(headers)
+        except CodecError as error:
+            _LOG.warning(
+                "rate limit unreadable", target=target.target_id, why=str(error)
+            )
+            return
+        self._local_target.note_rate_limit(target, rate_limit, get_monotonic_ms())
+
     async def _send(self, call, hop, buffer, request_id, max_idle_ms):
         stream, refusal = await self._connect(max_idle_ms)
         if refusal is not None:
