Failing test: a target gets more calls than the rate limit it names

Three nodes, the target of one names six calls a second in each answer; callers send as fast as they are answered.

--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -435,6 +435,47 @@
         run(work)
 
 
+def get_largest_count(times_s, window_s):
+    """Return the largest number of the given times within any window."""
+    return max(
+        sum(start_s <= time_s < start_s + window_s for time_s in times_s)
+        for start_s in times_s
+    )
+
+
+class TestRateLimit:
+    """One of three targets names a limit of six calls a second in its answers."""
+
+    PER_S = 6.0
+    WINDOW_S = 4.0
+    # Calls in a window that the target tolerates.
+    ALLOWED = 1.5 * PER_S * WINDOW_S + 5
+    SETTLE_S = 0.5
+
+    def test_target_gets_no_more_calls_than_its_rate_limit_allows(self):
+        # Guards against a target getting more calls than the limit it names (LIMIT).
+        arrivals_s = []
+
+        async def name_limit(request, connection):
+            arrivals_s.append(asyncio.get_running_loop().time())
+            return make_answer(request, Server_Limit=str(self.PER_S))
+
+        async def work(world):
+            world.nodes[0].target.set_behaviour(name_limit)
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            answers = []
+            while loop.time() < started_s + self.SETTLE_S + self.WINDOW_S:
+                node = world.nodes[len(answers) % 3]
+                answers.append(await node.call("/read/1", f"id-{len(answers)}"))
+                await asyncio.sleep(0.008)
+            assert {answer.status for answer in answers} == {200}
+            late_s = [at for at in arrivals_s if at >= started_s + self.SETTLE_S]
+            assert 0 < get_largest_count(late_s, self.WINDOW_S) <= self.ALLOWED
+
+        run(work, ("inquiry", "inquiry", "inquiry"))
+
+
 class TestCatalogue:
     def test_calls_use_a_new_version_at_once(self):
         async def work(world):
