Keep the rate limit that a target names at the gate beside it

What callers saw: nothing; a target that had named a limit of 6.1 calls a second got 78 calls in 4 s, allowed 42, another one with 8.5 got 134, allowed 56.

Cause: the gate bounded the calls in progress, not the calls a second, and no decision took the named limit into account. Class: a capacity that the other side states is not part of admission.

Change: all calls to a target pass the gate beside it, so a token bucket there holds for all nodes together. Waiting calls go by urgency when a token comes; one that would wait too long is refused at once, with the time until the limit would let it through. A target at its limit reports itself as full, so routers choose others. A limit below one call in two seconds lets that call through, or no answer could ever tell that it has ended.

--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -223,6 +223,7 @@
             return
         if self._rate_limit.update(rate_limit, now_ms):
             _LOG.info("target rate limit", target=target.target_id, per_s=rate_limit)
+            self._gate.set_rate_limit(rate_limit, now_ms)
 
     def note_outcome(self, is_failure, now_ms):
         """Record the outcome of a call to the target.
--- a/packages/sidecar/src/gentianlink/sidecar/priority_gate.py
+++ b/packages/sidecar/src/gentianlink/sidecar/priority_gate.py
@@ -1,7 +1,8 @@
-"""Concurrency limit of a target, with a priority queue of the calls waiting for a slot.
+"""Limits of a target, with a priority queue of the calls waiting for a slot.
 
-A target never receives more calls at once than it has slots. All other calls queue at
-the node beside the target, ordered by urgency, and can still be refused as not run.
+A target never receives more calls at once than it has slots, nor more calls a second
+than the limit that it names. All other calls queue at the node beside the target,
+ordered by urgency, and can still be refused as not run.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 )
 from gentianlink.sidecar.slot_reserve import SlotReserve
 from gentianlink.sidecar.target_load import TargetLoad
+from gentianlink.sidecar.token_bucket import TokenBucket
 from gentianlink.sidecar.waiting_call import WaitingCall
 
 # Weight of the newest call in the EWMA of execution times.
@@ -66,6 +68,8 @@
         self._last_arrival_ms = {}
         self._held_by_rank = collections.Counter()
         self._reserve = SlotReserve()
+        self._bucket = None
+        self._admission = None
 
     @property
     def in_flight(self):
@@ -82,17 +86,44 @@
         return self._work_ms.get(rule_name, 0.0)
 
     def get_load(self):
-        """Return the load to report to other nodes."""
+        """Return the load to report to other nodes.
+
+        A target that may get no call now because of its rate limit counts as full.
+        """
+        now_ms = get_monotonic_ms()
+        is_limited = self._compute_token_wait_ms(1, now_ms) > 0.0
+        in_flight = max(self._in_flight, self._slots if is_limited else 0)
         wait_ms = 0.0
-        if self._waiting or self._in_flight >= self._slots:
-            wait_ms = self._compute_wait_ms(LEAST_URGENT_ORDER, 0.0, get_monotonic_ms())
-        return TargetLoad(self._in_flight, len(self._waiting), wait_ms)
+        if self._waiting or in_flight >= self._slots:
+            wait_ms = self._compute_wait_ms(LEAST_URGENT_ORDER, 0.0, now_ms)
+        return TargetLoad(in_flight, len(self._waiting), wait_ms)
 
     def resize(self, slots, now_ms):
         """Change the number of slots, and admit waiting calls to slots added."""
         self._slots = slots
         self._admit_waiting(now_ms)
 
+    def set_rate_limit(self, per_s, now_ms):
+        """Change the rate limit, and admit waiting calls that it lets through.
+
+        Parameters
+        ----------
+        per_s : float or None
+            Calls a second, None for no limit.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        if per_s is None:
+            self._bucket = None
+        elif self._bucket is None:
+            self._bucket = TokenBucket(per_s, now_ms)
+        else:
+            self._bucket.set_rate(per_s, now_ms)
+        if self._admission is not None:
+            self._admission.cancel()
+            self._admission = None
+        self._admit_waiting(now_ms)
+
     def close(self, reason):
         """Refuse all calls that wait, and all that arrive later.
 
@@ -142,7 +173,7 @@
         is_free = is_next and self._may_take_slot(rank, work_ms, now_ms)
         if is_free and (allowed_ms >= 0 or not self._in_flight):
             self._reserve.record(rank, work_ms, now_ms)
-            self._take_slot(rank)
+            self._take_slot(rank, now_ms)
             return None
         if not hop.may_wait or wait_ms > allowed_ms:
             retry_after_ms = compute_retry_after_ms(wait_ms, allowed_ms)
@@ -152,6 +183,7 @@
         waiter = WaitingCall(result, rank, latest_ms, work_ms)
         bisect.insort(self._waiting, waiter, key=lambda item: item.order)
         self._refuse_overdue(now_ms)
+        self._schedule_admission(now_ms)
         return await self._wait(waiter, allowed_ms)
 
     def _is_least_urgent(self, rank, now_ms):
@@ -163,37 +195,51 @@
     def _may_take_slot(self, rank, work_ms, now_ms):
         if self._in_flight >= self._slots:
             return False
+        if self._compute_token_wait_ms(1, now_ms) > 0.0:
+            return False
         held = sum(
             count for other, count in self._held_by_rank.items() if other >= rank
         )
         return held < self._reserve.compute_limit(rank, work_ms, self._slots, now_ms)
 
-    def _take_slot(self, rank):
+    def _take_slot(self, rank, now_ms):
         self._in_flight += 1
         self._held_by_rank[rank] += 1
+        if self._bucket is not None:
+            self._bucket.take(now_ms)
+
+    def _compute_token_wait_ms(self, tokens, now_ms):
+        if self._bucket is None:
+            return 0.0
+        return self._bucket.compute_wait_ms(tokens, now_ms)
 
     def _compute_wait_ms(self, order, work_ms, now_ms):
-        work_ahead_ms = sum(
-            item.work_ms or self._mean_ms
-            for item in self._waiting
-            if item.order <= order
-        )
+        ahead = [item for item in self._waiting if item.order <= order]
+        work_ahead_ms = sum(item.work_ms or self._mean_ms for item in ahead)
         limit = self._reserve.compute_limit(order[0], work_ms, self._slots, now_ms)
-        return compute_wait_ms(work_ahead_ms, self._slots, limit, self._mean_ms)
+        return max(
+            compute_wait_ms(work_ahead_ms, self._slots, limit, self._mean_ms),
+            self._compute_token_wait_ms(len(ahead) + 1, now_ms),
+        )
 
     def _refuse_overdue(self, now_ms):
         """Refuse waiting calls that more urgent ones delay beyond their time limit."""
         work_ahead_ms = 0.0
+        ahead = 0
         overdue = []
         for waiter in self._waiting:
             limit = self._reserve.compute_limit(
                 waiter.rank, waiter.work_ms, self._slots, now_ms
             )
-            wait_ms = compute_wait_ms(work_ahead_ms, self._slots, limit, self._mean_ms)
+            wait_ms = max(
+                compute_wait_ms(work_ahead_ms, self._slots, limit, self._mean_ms),
+                self._compute_token_wait_ms(ahead + 1, now_ms),
+            )
             if now_ms + wait_ms > waiter.latest_ms:
                 overdue.append((waiter, wait_ms))
             else:
                 work_ahead_ms += waiter.work_ms or self._mean_ms
+                ahead += 1
         for waiter, wait_ms in overdue:
             self._waiting.remove(waiter)
             retry_after_ms = compute_retry_after_ms(wait_ms, waiter.latest_ms - now_ms)
@@ -249,13 +295,27 @@
         while self._waiting:
             waiter = self._waiting[0]
             if not self._may_take_slot(waiter.rank, waiter.work_ms, now_ms):
+                self._schedule_admission(now_ms)
                 return
             del self._waiting[0]
             if waiter.result.done():
                 continue
-            self._take_slot(waiter.rank)
+            self._take_slot(waiter.rank, now_ms)
             waiter.result.set_result(None)
 
+    def _schedule_admission(self, now_ms):
+        """Admit waiting calls once the rate limit lets the next one through."""
+        wait_ms = self._compute_token_wait_ms(1, now_ms)
+        if self._admission is not None or not self._waiting or not wait_ms:
+            return
+        self._admission = asyncio.get_running_loop().call_later(
+            wait_ms / 1000, self._admit_due, now_ms + wait_ms
+        )
+
+    def _admit_due(self, now_ms):
+        self._admission = None
+        self._admit_waiting(now_ms)
+
 
 def _update_mean(mean_ms, elapsed_ms):
     weight = MEAN_WEIGHT if mean_ms else 1.0
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -132,6 +132,7 @@
             in_flight=load.in_flight,
             waiting=load.waiting,
             wait_ms=round(load.wait_ms),
+            rate_limit=self._local_target.rate_limit,
             retry_after_ms=refusal.retry_after_ms,
         )
 
