Failing test: calls to a target that says in an answer that it leaves

What callers would see: calls cut when the target ends. The answer's notice is not read, so the target gets calls two seconds later, also after its next heartbeat. The check of the adapter's boundary knows the new names of the protocol.

--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -12,6 +12,9 @@
     make_rule,
 )
 
+# A target gets no calls that are sent this long after it said that it leaves.
+DRAIN_S = 2.0
+
 
 def run(work, services=("inquiry", "inquiry"), **options):
     async def run_world():
@@ -339,6 +342,29 @@
 
         run(work)
 
+    def test_target_that_says_in_an_answer_that_it_leaves_gets_no_more_calls(self):
+        # Guards against calls to a target that leaves without a heartbeat (DRAIN).
+        async def announce_leaving(request, connection):
+            return make_answer(request, Server_Leaving="1")
+
+        async def work(world):
+            first, second = world.nodes
+            first.target.set_behaviour(announce_leaving)
+            assert (await first.call("/read/1", "id-0")).status == 200
+            assert len(first.target.requests) == 1
+            await asyncio.sleep(DRAIN_S)
+            assert await first.send_heartbeat("ready") == 200
+            for number in range(5):
+                for node in world.nodes:
+                    answer = await node.call(
+                        "/read/1", f"{node.calls_address}-{number}"
+                    )
+                    assert answer.status == 200
+            assert len(first.target.requests) == 1
+            assert second.sidecar.count_ready_targets() == 1
+
+        run(work)
+
     def test_late_heartbeat_does_not_make_a_left_target_ready(self):
         async def work(world):
             node = world.nodes[0]
--- a/packages/testing/src/gentianlink/testing/test_adapter_boundary.py
+++ b/packages/testing/src/gentianlink/testing/test_adapter_boundary.py
@@ -9,6 +9,7 @@
 NAMES = re.compile(
     r"Server-Seal|Not-Executed|Expect-Instance|Caller-Service|Request-Id|rows-tx"
     r"|rows-feed|rows-get|rows-parts|blob-put|blob-get|blob-list|traffic_split"
+    r"|Server-Limit|Server-Leaving|Store-Era"
     r"|cold_left_s|heartbeat_addr|\bborn\b|bind_addrs|port_range:|/api/"
 )
 # The stand-ins implement the platform's protocol.
