Close the gate of a target that says in an answer that it leaves

What callers would see: calls cut when the target ends.

Cause: only heartbeats and the leave message closed the gate; an answer says the same and may be first, above all when no message is acknowledged.

Change: the adapter decodes the notice; it ends where the announcement does: the gate closes, the state is published and stored, so restarts keep it and a later heartbeat does not undo it. Answers of a former process of the target are ignored.

--- a/packages/platform/src/gentianlink/platform/answer_codec.py
+++ b/packages/platform/src/gentianlink/platform/answer_codec.py
@@ -10,6 +10,7 @@
 # Statuses that guarantee that the call was not executed and never will be.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 STATUS_OTHER_TARGET = 421
+IS_LEAVING = "1"
 
 
 class AnswerKind(enum.Enum):
@@ -59,6 +60,11 @@
     return wire.ANSWER_SEAL in headers or wire.NOT_EXECUTED in headers
 
 
+def is_leaving(headers):
+    """Return whether a target says in an answer that it is about to leave."""
+    return headers.get(wire.LEAVING) == IS_LEAVING
+
+
 def decode_rate_limit(headers):
     """Return the rate limit that a target names in an answer.
 
--- a/packages/platform/src/gentianlink/platform/test_codecs.py
+++ b/packages/platform/src/gentianlink/platform/test_codecs.py
@@ -8,6 +8,7 @@
     AnswerKind,
     classify_answer,
     decode_rate_limit,
+    is_leaving,
 )
 from gentianlink.platform.bounds_codec import decode_bounds
 from gentianlink.platform.catalogue_codec import decode_rule_set
@@ -170,3 +171,12 @@
     def test_malformed_limit_raises_codec_error(self, value):
         with pytest.raises(CodecError):
             decode_rate_limit(HTTPHeaders({wire.RATE_LIMIT: value}))
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        ("headers", "expected"),
+        [({}, False), ({wire.LEAVING: "1"}, True), ({wire.LEAVING: "0"}, False)],
+    )
+    def test_target_leaves_if_its_answer_says_so(self, headers, expected):
+        assert is_leaving(HTTPHeaders(headers)) is expected
--- a/packages/platform/src/gentianlink/platform/wire.py
+++ b/packages/platform/src/gentianlink/platform/wire.py
@@ -29,3 +29,5 @@
 CALLING_SERVICE = "Caller-Service"
 # Calls a second that a target accepts from all nodes together.
 RATE_LIMIT = "Server-Limit"
+# Set to "1" by a target that is about to leave.
+LEAVING = "Server-Leaving"
--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -132,6 +132,18 @@
             return
         self._close(TargetState.LEFT)
 
+    def note_leaving(self, target):
+        """Close the gate of a target that says in an answer that it leaves.
+
+        Parameters
+        ----------
+        target : TargetInfo
+            State of the target when the call was sent to it; an answer of a former
+            process is ignored.
+        """
+        if self.is_ready and _is_same_process(self._info, target):
+            self._close(TargetState.DRAINING)
+
     def restore(self, info, now_ms):
         """Restore the target's state from before a restart of this node.
 
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -10,7 +10,7 @@
 from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
-from gentianlink.platform.answer_codec import decode_rate_limit
+from gentianlink.platform.answer_codec import decode_rate_limit, is_leaving
 from gentianlink.sidecar.answer_buffer import AnswerBuffer
 from gentianlink.sidecar.send_call import send_call
 from gentianlink.sidecar.status import STALE_STATE_RETRY_MS, STATUS_SERVER_ERROR
@@ -176,6 +176,8 @@
         return (buffer, None) if refusal is None else (None, refusal)
 
     def _note_headers(self, target, headers):
+        if is_leaving(headers):
+            self._local_target.note_leaving(target)
         try:
             rate_limit = decode_rate_limit(headers)
         except CodecError as error:
