Failing test: an endless body that is no answer holds the call

What callers would see: 504 at the deadline instead of another target's answer. A target sends a head that is no answer to the call, without length, in chunks, or for another call, and then bytes without end: the node reads on until the deadline. An endless head, and endless interim answers, are cut at once.

--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gentianlink.platform import wire
+from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.scripted_target import make_answer, make_not_executed
 from gentianlink.testing.sidecar_world import (
     HOST,
@@ -156,6 +157,83 @@
         run(work, ("inquiry",))
 
 
+def start_answer(request, **headers):
+    """Return the head of an answer without the end of its headers."""
+    head = make_answer(request, b"", **headers)
+    return head.removesuffix(b"\r\n\r\n").replace(b"\r\nContent-Length: 0", b"")
+
+
+def start_foreign_answer(request):
+    return start_answer(request).replace(b"id-1", b"id-0")
+
+
+class TestAnswerWithoutEnd:
+    """A target sends bytes until its connection is closed."""
+
+    CHUNK = b"2000\r\n" + b"x" * 0x2000 + b"\r\n"
+    # More than any test needs, so that a failing one ends.
+    MAX_BYTES = 64 << 20
+    # Far below the memory of a node.
+    MAX_KEPT_BYTES = 8 << 20
+
+    def make_behaviour(self, make_start, part):
+        async def send_endlessly(request, connection):
+            self.sent = 0
+            connection.writer.write(make_start(request))
+            while self.sent < self.MAX_BYTES:
+                connection.writer.write(part)
+                await connection.writer.drain()
+                self.sent += len(part)
+            await asyncio.Event().wait()
+
+        return send_endlessly
+
+    @pytest.mark.parametrize(
+        ("make_start", "part"),
+        [
+            (lambda request: b"", b"x" * 1000),
+            (lambda request: b"HTTP/1.1 200 OK\r\n", 100 * b"X-Note: again\r\n"),
+            (lambda request: b"", 100 * b"HTTP/1.1 102 Processing\r\n\r\n"),
+            (
+                lambda request: b"HTTP/1.1 200 OK\r\n\r\n",
+                b"x" * 1000,
+            ),
+            (
+                lambda request: (
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                ),
+                CHUNK,
+            ),
+            (
+                lambda request: (
+                    start_foreign_answer(request)
+                    + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+                ),
+                CHUNK,
+            ),
+        ],
+        ids=["garbage", "headers", "interim", "body", "chunks", "foreign"],
+    )
+    def test_call_goes_on_at_once_after_bytes_that_are_no_answer(
+        self, make_start, part
+    ):
+        # Guards against waiting until the deadline for the end of a broken answer.
+        async def work(world):
+            await grow_budget(world.nodes[0], "/read/1", 60)
+            node = world.nodes[0]
+            node.target.set_behaviour(self.make_behaviour(make_start, part))
+            before = len(node.target.requests)
+            started_s = asyncio.get_running_loop().time()
+            answer = await node.call("/read/1", "id-1")
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            assert len(node.target.requests) == before + 1
+            assert (answer.status, answer.body) == (200, b"done")
+            assert elapsed_s < 0.5
+            assert self.sent < self.MAX_KEPT_BYTES
+
+        run(work)
+
+
 class TestRetries:
     def test_repeatable_call_without_an_answer_is_retried_at_another_target(self):
         async def work(world):
