Don't read on after the head of an answer that can't be used

What callers would see: 504 at the deadline instead of another target's answer.

Cause: the verdict on an answer is made with its head, but the exchange ended only with its body, which may have no end. Class: waiting for the end of something that is already decided.

Change: a bad head closes the connection at once. A refusal's body and late answers to other calls are skipped up to 256 KB and 16 answers, so that the connection can be used again; after that it is closed. A refusal stays one then, as its head is complete. The node of the other interface has the same reader, so its unframed answers and refusals end the same way.

--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -89,6 +89,7 @@
         """Relay a part of the body and wait until the socket has accepted it."""
         self.last_progress_ms = get_monotonic_ms()
         if self._refusal is not None or self.is_bad or self._is_abandoned:
+            self.skip(chunk)
             return
         self._is_writing = True
         try:
--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -12,6 +12,8 @@
 from gentianlink.node.proxy.exchange_timer import ExchangeTimer
 
 MAX_ANSWER_BYTES = 1 << 40
+# Late answers to earlier requests that are skipped on one connection.
+MAX_FOREIGN_ANSWERS = 16
 _PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
 
 
@@ -51,13 +53,16 @@
     connection = HTTP1Connection(stream, True, _PARAMETERS)
     timer = ExchangeTimer(stream, relay, call.deadline_ms, silence_ms)
     timer.start(get_monotonic_ms())
+    relay.set_stop_callback(stream.close)
     send_task = None
     try:
         send_task = _send(connection, call)
         if send_task is not None:
             relay.set_finish_callback(lambda: send_task.done() or stream.close())
         is_open = await connection.read_response(relay)
-        while is_open and relay.is_foreign and not stream.closed():
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            if not is_open or not relay.is_foreign or stream.closed():
+                break
             # Skip a late answer to an earlier request on this connection.
             relay.reset()
             next_reader = HTTP1Connection(stream, True, _PARAMETERS)
@@ -68,12 +73,16 @@
         stream.close()
         if isinstance(error, asyncio.CancelledError):
             raise
+        if _is_refused(timer, relay):
+            return False
         raise _get_failure(timer, relay) from error
     finally:
         timer.stop()
         is_sent = await _stop_sending(send_task, call)
     is_truncated = relay.ends_with_connection and stream.error is not None
     is_whole = relay.is_finished and not is_truncated and not relay.is_foreign
+    if _is_refused(timer, relay):
+        return False
     if timer.error or relay.is_bad or relay.is_abandoned or not is_whole:
         stream.close()
         raise _get_failure(timer, relay)
@@ -112,6 +121,11 @@
     return is_sent
 
 
+def _is_refused(timer, relay):
+    """Return whether an answer that was not read to its end is a refusal."""
+    return relay.is_stopped and relay.refusal is not None and not timer.error
+
+
 def _get_failure(timer, relay):
     if relay.is_abandoned:
         return CallerGone()
--- a/packages/node/src/gentianlink/node/proxy/relayed_answer.py
+++ b/packages/node/src/gentianlink/node/proxy/relayed_answer.py
@@ -6,6 +6,8 @@
 
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Bytes that are read only to use the connection again; a new one costs less than more.
+MAX_SKIPPED_BYTES = 256 * 1024
 
 
 class RelayedAnswer(HTTPMessageDelegate):
@@ -23,6 +25,9 @@
         self._writer = writer
         self._is_head = is_head
         self._on_finish = None
+        self._on_stop = None
+        self._is_stopped = False
+        self._skipped_bytes = 0
         self._is_abandoned = False
         self._is_writing = False
         self.last_progress_ms = 0.0
@@ -71,6 +76,15 @@
         """Whether a write to the caller is pending."""
         return self._is_writing
 
+    @property
+    def is_stopped(self):
+        """Whether the rest of the answer is not read, because it can't be used."""
+        return self._is_stopped
+
+    def set_stop_callback(self, callback):
+        """Set the function to call when the rest of the answer is not to be read."""
+        self._on_stop = callback
+
     def set_finish_callback(self, callback):
         """Set the function to call when the whole answer has arrived."""
         self._on_finish = callback
@@ -90,6 +104,19 @@
         )
         self._is_keep_alive = headers.get("Connection", "").lower() != "close"
         self.classify()
+        if self.is_bad:
+            self._stop()
+
+    def skip(self, chunk):
+        """Discard a part of a body, and stop reading if there is too much of it."""
+        self._skipped_bytes += len(chunk)
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._stop()
+
+    def _stop(self):
+        self._is_stopped = True
+        if self._on_stop is not None:
+            self._on_stop()
 
     def classify(self):
         """Classify the answer by its status and headers."""
--- a/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
@@ -73,6 +73,7 @@
         """Buffer a part of the body, or relay it if the answer is large."""
         self.last_progress_ms = get_monotonic_ms()
         if self._is_abandoned or not self._verdict.is_answer:
+            self.skip(chunk)
             return
         self._size_bytes += len(chunk)
         self._chunks.append(chunk)
--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -3,7 +3,6 @@
 import pytest
 
 from gentianlink.platform import wire
-from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.scripted_target import make_answer, make_not_executed
 from gentianlink.testing.sidecar_world import (
     HOST,
@@ -211,8 +210,29 @@
                 ),
                 CHUNK,
             ),
+            (
+                lambda request: (
+                    b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n"
+                ),
+                CHUNK,
+            ),
+            (
+                lambda request: b"",
+                20 * b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\n"
+                b"Content-Length: 0\r\n\r\n",
+            ),
+        ],
+        ids=[
+            "garbage",
+            "headers",
+            "interim",
+            "body",
+            "chunks",
+            "foreign",
+            "refusal",
+            "foreign series",
         ],
-        ids=["garbage", "headers", "interim", "body", "chunks", "foreign"],
     )
     def test_call_goes_on_at_once_after_bytes_that_are_no_answer(
         self, make_start, part
