Failing test: an endless answer without a length fills the node's memory

What callers would see: all calls of a node fail when its process is killed for its memory. A target sends an answer without a length and without end; the node kept all 64 MB of it within a second while its caller read nothing.

--- a/packages/sidecar/src/gentianlink/sidecar/test_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_calls.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gentianlink.platform import wire
+from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.scripted_target import make_answer, make_not_executed
 from gentianlink.testing.sidecar_world import (
     HOST,
@@ -253,6 +254,30 @@
 
         run(work)
 
+    @pytest.mark.parametrize(
+        ("framing", "part"),
+        [(b"", b"x" * 0x2000), (b"\r\nTransfer-Encoding: chunked", CHUNK)],
+        ids=["without length", "chunks"],
+    )
+    def test_answer_that_its_caller_does_not_read_is_not_kept(self, framing, part):
+        # Guards against an endless answer that fills the memory of the node.
+        async def work(world):
+            node = world.nodes[0]
+            node.target.set_behaviour(
+                self.make_behaviour(
+                    lambda request: start_answer(request) + framing + b"\r\n\r\n", part
+                )
+            )
+            host, _, port = node.calls_address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+            headers = {"Host": HOST, wire.REQUEST_ID: "id-1", wire.DEADLINE_MS: "1500"}
+            writer.write(format_message("GET /read/1 HTTP/1.1", headers))
+            await asyncio.sleep(1.0)
+            writer.close()
+            assert 0 < self.sent < self.MAX_KEPT_BYTES
+
+        run(work, ("inquiry",))
+
 
 class TestRetries:
     def test_repeatable_call_without_an_answer_is_retried_at_another_target(self):
