Relay a large answer without a length while it arrives

What callers would see: all calls of a node fail when its process is killed for its memory.

Cause: answers without a length were kept whole until their connection closed, without any bound. Class: a buffer whose size the other side chooses.

Change: they are relayed beyond 256 KB like all others, in chunks, so a caller that does not read slows the target down. Answers up to 256 KB are still relayed only once complete.

--- a/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
@@ -77,9 +77,7 @@
             return
         self._size_bytes += len(chunk)
         self._chunks.append(chunk)
-        # Without a length the answer is complete only when the connection closes, so
-        # none of it is relayed before.
-        if self._size_bytes <= BUFFER_BYTES or not self._has_length:
+        if self._size_bytes <= BUFFER_BYTES:
             return
         self._is_writing = True
         try:
