Failing test: a version is missed when revisions are given out again

What callers would see: answers by an older version for good. The table service returns from an older copy, the operator writes version 3 under a revision that the readers have passed, and the feed goes on behind it. The stand-in of the table service can return to a copy and names its era.

--- a/packages/platform/src/gentianlink/platform/wire.py
+++ b/packages/platform/src/gentianlink/platform/wire.py
@@ -31,3 +31,5 @@
 RATE_LIMIT = "Server-Limit"
 # Set to "1" by a target that is about to leave.
 LEAVING = "Server-Leaving"
+# Number that rises each time the table service returns from an older copy.
+STORE_ERA = "Store-Era"
--- a/packages/testing/src/gentianlink/testing/platform_service.py
+++ b/packages/testing/src/gentianlink/testing/platform_service.py
@@ -9,6 +9,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from gentianlink.platform import wire
 from gentianlink.testing.fault_handler import (
     FaultHandler,
     FaultsHandler,
@@ -53,7 +54,16 @@
     return item["table"], item["key"]
 
 
-class RowsHandler(FaultHandler):
+class TableHandler(FaultHandler):
+    """Names the era of the table service in its answers."""
+
+    def answer(self, value, status=200):
+        """Send a JSON answer."""
+        self.set_header(wire.STORE_ERA, str(self.state.era))
+        super().answer(value, status)
+
+
+class RowsHandler(TableHandler):
     """Serves range reads."""
 
     async def get(self):
@@ -73,7 +83,7 @@
         )
 
 
-class FeedHandler(FaultHandler):
+class FeedHandler(TableHandler):
     """Serves the change feed of a table by long poll."""
 
     async def get(self):
@@ -82,7 +92,11 @@
         after = int(self.get_query_argument("after"))
         wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
         await self.wait_in_queue(self.fault_state.reads)
+        era = self.state.era
         rows = await self.state.wait_for_changes(table, after, wait_s)
+        if self.state.era != era:
+            # The service was away for a moment.
+            self.lose_answer()
         if rows is None:
             self.answer({}, STATUS_GONE)
             return
@@ -94,7 +108,7 @@
         )
 
 
-class TransactHandler(FaultHandler):
+class TransactHandler(TableHandler):
     """Serves conditional transactions."""
 
     async def post(self):
--- a/packages/testing/src/gentianlink/testing/platform_tables.py
+++ b/packages/testing/src/gentianlink/testing/platform_tables.py
@@ -14,6 +14,7 @@
         self._history = []
         self._changed = asyncio.Event()
         self.history_start = 0
+        self.era = 1
 
     def find(self, row_id):
         """Return key, revision and value of a row, None if it does not exist.
@@ -92,6 +93,28 @@
         self._history.clear()
         self.history_start = self.revision
 
+    def copy_rows(self):
+        """Return a copy of all rows, to return to with :meth:`restore_copy`."""
+        return self.revision, dict(self._rows)
+
+    def restore_copy(self, copy):
+        """Return to a copy; what was written since is lost, and an era begins.
+
+        Revisions after that of the copy are given out again.
+
+        Parameters
+        ----------
+        copy : tuple
+            Result of :meth:`copy_rows`.
+        """
+        self.revision, rows = copy
+        self._rows = dict(rows)
+        self._keys = sorted(rows)
+        self._history = [item for item in self._history if item[0] <= self.revision]
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def wait_for_changes(self, table, after, wait_s):
         """Wait for changes after a revision and return the changed rows.
 
@@ -109,12 +132,13 @@
         list of tuple or None
             Key, revision and value of the latest change of each row; the value of a
             deleted row is None. The list is empty after the timeout. None instead of
-            a list if the history no longer reaches back to the revision.
+            a list if the history no longer reaches back to the revision, or there is
+            no such revision.
         """
         self.reads += 1
         try:
             async with asyncio.timeout(wait_s):
-                while after >= self.history_start:
+                while self.history_start <= after <= self.revision:
                     if rows := self._get_changes(table, after):
                         return rows
                     await self._changed.wait()
