Read the whole table again when its era has changed

What callers would see: answers by an older version for good.

Cause: the feed goes on after a revision, and compared revisions that the table service had given out in two eras. 410 covers only revisions that don't exist again yet. Class: comparing positions of two histories.

Change: the adapter decodes the era of each answer; changes carry the era in which their revision is valid, and another one is HistoryUnavailable, which leads to a full read, as 410 does. A long poll that was lost is not repeated at once but followed by a read without a wait, so that the era shows at once. That also shows sooner that the table answers again.

--- a/packages/core/src/gentianlink/core/errors.py
+++ b/packages/core/src/gentianlink/core/errors.py
@@ -115,7 +115,7 @@
 
 
 class HistoryUnavailable(PlatformError):
-    """The table service has discarded the changes after a revision."""
+    """The table service no longer has the changes after a revision."""
 
 
 class ObjectNotFound(PlatformError):
--- a/packages/core/src/gentianlink/core/row_changes.py
+++ b/packages/core/src/gentianlink/core/row_changes.py
@@ -15,7 +15,11 @@
         Changed rows.
     revision : int
         Revision of the table service from which the feed continues.
+    era : int
+        Era of the table service in which the revision is valid. An era begins when the
+        service returns from an older copy; it gives out the later revisions again.
     """
 
     rows: tuple[RowChange, ...]
     revision: int
+    era: int = 0
--- a/packages/platform/src/gentianlink/platform/answer_reader.py
+++ b/packages/platform/src/gentianlink/platform/answer_reader.py
@@ -37,6 +37,11 @@
         """Whether the service keeps the connection open for another request."""
         return self._headers.get("Connection", "").lower() != "close"
 
+    @property
+    def headers(self):
+        """Headers of the answer, None before they arrived."""
+        return self._headers
+
     @property
     def body(self):
         """Body received so far."""
--- a/packages/platform/src/gentianlink/platform/service_answer.py
+++ b/packages/platform/src/gentianlink/platform/service_answer.py
@@ -1,5 +1,7 @@
 """An HTTP answer of a platform service."""
 
+from collections.abc import Mapping
+
 import attrs
 
 
@@ -13,7 +15,10 @@
         HTTP status.
     body : bytes
         Body of the answer.
+    headers : Mapping of str to str
+        Headers of the answer.
     """
 
     code: int
     body: bytes
+    headers: Mapping[str, str] = attrs.field(factory=dict, eq=False)
--- a/packages/platform/src/gentianlink/platform/service_connections.py
+++ b/packages/platform/src/gentianlink/platform/service_connections.py
@@ -56,7 +56,7 @@
         """Approximate number of bytes sent and received, including headers."""
         return self._bytes
 
-    async def send(self, method, path, body=None, timeout_ms=None):
+    async def send(self, method, path, body=None, timeout_ms=None, may_repeat=True):
         """Send one request.
 
         Parameters
@@ -69,6 +69,8 @@
             Body of the request.
         timeout_ms : int, optional
             Timeout in milliseconds that overrides the default.
+        may_repeat : bool, optional
+            Whether a GET request is repeated if its idle connection was lost.
 
         Returns
         -------
@@ -84,7 +86,10 @@
         """
         timeout_s = self._timeout_s if timeout_ms is None else timeout_ms / 1000
         deadline_s = time.monotonic() + timeout_s
-        answer = await self._send_over_idle(method, path, body, deadline_s)
+        is_repeatable = may_repeat and method == "GET"
+        answer = await self._send_over_idle(
+            method, path, body, deadline_s, is_repeatable
+        )
         if answer is None:
             stream = await self._connect(deadline_s)
             answer = await self._exchange(stream, method, path, body, deadline_s)
@@ -94,7 +99,7 @@
             raise PlatformOutcomeUnknown(f"status {answer.code}")
         return answer
 
-    async def _send_over_idle(self, method, path, body, deadline_s):
+    async def _send_over_idle(self, method, path, body, deadline_s, is_repeatable):
         """Return the answer over an idle connection, None if a new one is needed."""
         stream = self._pop_idle(time.monotonic())
         if stream is None:
@@ -104,7 +109,7 @@
         except PlatformOutcomeUnknown:
             # The cause of the failure may affect the other idle connections as well.
             self.close()
-            if method != "GET" or time.monotonic() >= deadline_s:
+            if not is_repeatable or time.monotonic() >= deadline_s:
                 raise
         return None
 
@@ -147,7 +152,7 @@
             self._release(stream, is_reusable)
         if not reader.is_complete:
             raise PlatformOutcomeUnknown("the answer is incomplete")
-        return ServiceAnswer(reader.code, reader.body)
+        return ServiceAnswer(reader.code, reader.body, reader.headers)
 
     def _write(self, connection, method, path, body):
         target = self._path + path
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -148,28 +148,33 @@
         changes = {}
         first = ""
         revision = None
+        era = 0
         while True:
             self._reads += 1
             query = urllib.parse.urlencode(
                 {"table": self._table, "part": "", "from": first}
             )
             path = f"{wire.ROWS_GET_PATH}?{query}"
-            answer = _decode_answer(await self._connections.send("GET", path))
+            response = await self._connections.send("GET", path)
+            answer = _decode_answer(response)
             if revision is None:
-                revision = _get_revision(answer)
+                revision, era = _get_revision(answer), _decode_era(response)
+            _check_era(response, era)
             page = [_decode_change(row) for row in _get_rows(answer)]
             changes.update((change.key, change) for change in page)
             if not answer.get("has_more") or not page or page[-1].key == first:
-                return RowChanges(tuple(changes.values()), revision)
+                return RowChanges(tuple(changes.values()), revision, era)
             first = page[-1].key
 
-    async def wait_for_changes(self, revision, wait_ms):
+    async def wait_for_changes(self, revision, era, wait_ms):
         """Wait by long polling until rows of the table change.
 
         Parameters
         ----------
         revision : int
             Revision after which changes are returned.
+        era : int
+            Era in which the service gave out the revision.
         wait_ms : int
             Maximum wait in milliseconds.
 
@@ -182,7 +187,8 @@
         Raises
         ------
         HistoryUnavailable
-            If the service discarded changes after `revision`; read the table again.
+            If the service discarded changes after `revision`, or has returned from an
+            older copy since then; read the table again.
         PlatformError
             If the changes could not be read.
         """
@@ -191,14 +197,20 @@
             {"table": self._table, "after": revision, "wait_ms": wait_ms}
         )
         path = f"{wire.ROWS_FEED_PATH}?{query}"
+        # A lost long poll is not repeated at once: the service may have returned from
+        # an older copy, which the caller has to find out first.
         response = await self._connections.send(
-            "GET", path, timeout_ms=wait_ms + LONG_POLL_MARGIN_MS
+            "GET",
+            path,
+            timeout_ms=wait_ms + LONG_POLL_MARGIN_MS,
+            may_repeat=wait_ms == 0,
         )
         if response.code == STATUS_HISTORY_GONE:
             raise HistoryUnavailable(f"after revision {revision}")
         answer = _decode_answer(response)
+        _check_era(response, era)
         rows = tuple(_decode_change(row) for row in _get_rows(answer))
-        return RowChanges(rows, _get_revision(answer))
+        return RowChanges(rows, _get_revision(answer), era)
 
     async def transact(self, puts, checks=(), deletes=()):
         """Write and delete rows if each checked row is still at its revision.
@@ -281,6 +293,19 @@
     return decode_json(response)
 
 
+def _decode_era(response):
+    value = response.headers.get(wire.STORE_ERA, "0")
+    if not value.isdecimal():
+        raise PlatformAnswerInvalid(f"era {value!r} is not a number")
+    return int(value)
+
+
+def _check_era(response, era):
+    found = _decode_era(response)
+    if found != era:
+        raise HistoryUnavailable(f"the table is of era {found}, no longer {era}")
+
+
 def _get_rows(answer):
     rows = answer.get("rows")
     if not isinstance(rows, list):
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -45,6 +45,7 @@
         self._changed = asyncio.Event()
         self._written_state = None
         self._revision = None
+        self._era = 0
         self._loaded = asyncio.Event()
 
     async def wait_until_loaded(self, timeout_s):
@@ -99,7 +100,7 @@
 
     async def _read(self):
         changes = await self._read_changes()
-        self._revision = changes.revision
+        self._revision, self._era = changes.revision, changes.era
         for row in changes.rows:
             if row.is_removed:
                 continue
@@ -113,7 +114,7 @@
         if self._revision is None:
             return await self._table.read_all()
         try:
-            return await self._table.wait_for_changes(self._revision, 0)
+            return await self._table.wait_for_changes(self._revision, self._era, 0)
         except HistoryUnavailable:
             return await self._table.read_all()
 
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -57,6 +57,7 @@
         self._reader_selector = reader_selector
         self._exchange = exchange
         self._revision = None
+        self._era = 0
         self._is_reading = False
         self._is_lost = False
         self._attempt = 0
@@ -100,8 +101,11 @@
                 else:
                     await self._follow(reader)
                 self._note_success()
-            except HistoryUnavailable:
-                _LOG.info("change history unavailable; reading the whole table")
+            except HistoryUnavailable as error:
+                _LOG.info(
+                    "change history unavailable; reading the whole table",
+                    why=str(error),
+                )
                 self._revision = None
             except PlatformError as error:
                 await self._note_failure(reader, error)
@@ -115,9 +119,14 @@
         if self._revision is None:
             changes = await self._table.read_all()
         else:
-            changes = await self._table.wait_for_changes(self._revision, TABLE_WAIT_MS)
+            # After a failure the service may have returned from an older copy, which an
+            # answer shows; a long poll would delay it.
+            wait_ms = 0 if self._is_lost else TABLE_WAIT_MS
+            changes = await self._table.wait_for_changes(
+                self._revision, self._era, wait_ms
+            )
         self._is_reading = True
-        self._revision = changes.revision
+        self._revision, self._era = changes.revision, changes.era
         size = 0
         for row in changes.rows:
             if row.key == CATALOGUE_KEY and not row.is_removed:
--- a/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
@@ -74,7 +74,7 @@
     async def read_all(self):
         return RowChanges((self._operator.row,), self._operator.row.revision)
 
-    async def wait_for_changes(self, revision, wait_ms):
+    async def wait_for_changes(self, revision, era, wait_ms):
         try:
             async with asyncio.timeout((wait_ms + LONG_POLL_MARGIN_MS) / 1000):
                 newer = await self._operator.holder.wait_for_newer(
--- a/packages/testing/src/gentianlink/testing/platform_tables.py
+++ b/packages/testing/src/gentianlink/testing/platform_tables.py
@@ -136,9 +136,10 @@
             no such revision.
         """
         self.reads += 1
+        era = self.era
         try:
             async with asyncio.timeout(wait_s):
-                while self.history_start <= after <= self.revision:
+                while self.era == era and self.history_start <= after <= self.revision:
                     if rows := self._get_changes(table, after):
                         return rows
                     await self._changed.wait()
