Failing test: a node's row that the table service lost stays lost

What callers would see: calls to a target that has left, after a later kill of all nodes. The table service returns from a copy without the row that says so, and the node does not write it again within ten seconds.

--- a/packages/sidecar/src/gentianlink/sidecar/test_table_restore.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_table_restore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentianlink.sidecar import node_rows
 from gentianlink.testing.sidecar_world import RULES, SidecarWorld
 
 # A version is in force within this time after the operator wrote it.
@@ -55,3 +56,19 @@
             await wait_for_version(world, 3)
 
         run(work)
+
+
+class TestNodeRows:
+    def test_rows_that_were_lost_are_written_again(self, monkeypatch):
+        # Guards against a target that is forgotten after a later kill of all nodes.
+        monkeypatch.setattr(node_rows, "CHECK_PERIOD_S", 0.5, raising=False)
+
+        async def work(world):
+            copy = world.tables.copy_rows()
+            await world.nodes[0].send_leave()
+            await world.wait_until(lambda: world.count_rows_with_left_target() == 1)
+            world.tables.restore_copy(copy)
+            assert world.count_rows_with_left_target() == 0
+            await world.wait_until(lambda: world.count_rows_with_left_target() == 1)
+
+        run(work)
