Write a node's row again after the table service lost it

What callers would see: calls to a target that has left, after a later kill of all nodes.

Cause: a node wrote its row only when its state changed and took its last acknowledged write for what the table holds. Class: a cache of what another system holds, without a check.

Change: each node reads the changes of the rows about every 20 s; if the era of the table has changed, it writes its row again. No message between nodes changes, so nodes of two versions work together.

Costs one read a node and 20 s.

--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import random
 
 import attrs
 
@@ -22,6 +23,9 @@
 MAX_BACKOFF_MS = 1500
 # Changes within this time are combined into one write.
 WRITE_DELAY_S = 0.02
+# Mean period of the checks whether the table service has returned from an older copy,
+# which may lack this node's row.
+CHECK_PERIOD_S = 20.0
 
 
 class NodeRows:
@@ -70,7 +74,7 @@
             self._changed.set()
 
     async def run(self):
-        """Read all rows, then write this node's row at each change, until cancelled."""
+        """Read all rows, then keep this node's row up to date, until cancelled."""
         await self._retry(self._read, "reading node rows failed")
         await self._retry(self._write, "writing this node's row failed")
         # The second read follows the write, so that of two nodes that start at the same
@@ -78,12 +82,30 @@
         await self._retry(self._read, "reading node rows failed")
         self._loaded.set()
         while True:
-            await self._changed.wait()
-            await asyncio.sleep(WRITE_DELAY_S)
-            self._changed.clear()
+            if await self._wait_for_change():
+                await asyncio.sleep(WRITE_DELAY_S)
+                self._changed.clear()
+            else:
+                await self._check_era()
             if _get_persistent_state(self._get_own_record()) != self._written_state:
                 await self._retry(self._write, "writing this node's row failed")
 
+    async def _wait_for_change(self):
+        """Return whether this node's row may have changed before the next check."""
+        try:
+            async with asyncio.timeout(CHECK_PERIOD_S * random.uniform(0.5, 1.5)):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _check_era(self):
+        era = self._era
+        await self._retry(self._read, "reading node rows failed")
+        if self._era != era:
+            _LOG.warning("table service restored", era=self._era, before=era)
+            self._written_state = None
+
     async def _retry(self, operation, event):
         attempt = 0
         while True:
