Follow the other regular reader after the loss of one

Callers saw routes of versions that were confirmed more than two seconds ago refused, after the process that reads versions for its data centre had stood still.

Cause: a follower that suspended a reader chose among the next two by rank. The second of these is no reader yet, waits 0.4 s for its own take-over, and answers 503; only then came the regular reader that has the version.

Change: as long as one of the two regular readers of the data centre is not suspended, it is the one that is followed. A node still takes over itself by the same rule.

--- a/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
@@ -82,16 +82,44 @@
         peers = [
             record
             for record in self._directory.get_holders(0)
-            if record.data_centre == own.data_centre
-            and not record.is_stopping
-            and self._suspended.get(record.node_id, 0.0) <= now_ms
+            if record.data_centre == own.data_centre and not record.is_stopping
         ]
         ranked = sorted([own, *peers], key=_get_rank)
-        readers = ranked[:READERS_PER_DATA_CENTRE]
+        available = [
+            record
+            for record in ranked
+            if record is own or self._is_available(record, now_ms)
+        ]
+        readers = available[:READERS_PER_DATA_CENTRE]
         if own in readers:
             return None
+        # A node that takes over for a suspended reader may not know that yet.
+        regular = [item for item in ranked[:READERS_PER_DATA_CENTRE] if item in readers]
+        readers = regular or readers
         return readers[(zlib.crc32(own.node_id.encode()) + self._turn) % len(readers)]
 
+    def list_remote_readers(self):
+        """Return the regular readers of the other data centres.
+
+        Returns
+        -------
+        list of PeerRecord
+            The nodes that read the table if the table service answers them.
+        """
+        by_data_centre = collections.defaultdict(list)
+        for record in self._directory.get_holders(0):
+            if not record.is_stopping:
+                by_data_centre[record.data_centre].append(record)
+        by_data_centre.pop(self._directory.own.data_centre, None)
+        return [
+            record
+            for records in by_data_centre.values()
+            for record in sorted(records, key=_get_rank)[:READERS_PER_DATA_CENTRE]
+        ]
+
+    def _is_available(self, record, now_ms):
+        return self._suspended.get(record.node_id, 0.0) <= now_ms
+
 
 def _get_rank(record):
     return -record.link_mbps, record.node_id
