Bound the age of versions while the table leaves readers unanswered

Cause, two of one class, a source that is silent but counts as current: (1) a long poll whose answer is lost was given up after 4 s (2 s and a margin of 2 s), also when the table had been healthy again for longer; (2) the only way in which a data centre heard of versions besides was the exchange of state, whose period for a pair is nodes / 4 s.

Change: the margin is 0.4 s while the table answers at once, and grows with the delay of its answers, timeouts, and the size of versions (PollMargin); a reader that takes a new version from the table starts an exchange with the two readers of each other data centre, which fetch it 350 ms later if their table does not deliver it.

Why it works: an unanswered poll ends 2.4 s after its start, within the three seconds after which the table counts as healthy; and a version needs one reader anywhere that is answered, at a cost of readers x readers messages a version, whatever the number of nodes.

--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -21,8 +21,6 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 412
 STATUS_HISTORY_GONE = 410
-# Timeout of a long poll in addition to the requested wait.
-LONG_POLL_MARGIN_MS = 2000
 
 
 class TableClient:
@@ -166,7 +164,7 @@
                 return RowChanges(tuple(changes.values()), revision, era)
             first = page[-1].key
 
-    async def wait_for_changes(self, revision, era, wait_ms):
+    async def wait_for_changes(self, revision, era, wait_ms, margin_ms):
         """Wait by long polling until rows of the table change.
 
         Parameters
@@ -177,6 +175,8 @@
             Era in which the service gave out the revision.
         wait_ms : int
             Maximum wait in milliseconds.
+        margin_ms : float
+            Timeout in milliseconds in addition to the requested wait.
 
         Returns
         -------
@@ -202,7 +202,7 @@
         response = await self._connections.send(
             "GET",
             path,
-            timeout_ms=wait_ms + LONG_POLL_MARGIN_MS,
+            timeout_ms=wait_ms + margin_ms,
             may_repeat=wait_ms == 0,
         )
         if response.code == STATUS_HISTORY_GONE:
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -16,6 +16,7 @@
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.peer_codec import decode_record, encode_record
+from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
 
 _LOG = get_logger("rows")
 
@@ -136,7 +137,9 @@
         if self._revision is None:
             return await self._table.read_all()
         try:
-            return await self._table.wait_for_changes(self._revision, self._era, 0)
+            return await self._table.wait_for_changes(
+                self._revision, self._era, 0, MAX_MARGIN_MS
+            )
         except HistoryUnavailable:
             return await self._table.read_all()
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -179,6 +179,19 @@
         if link is not None and not link.failures:
             link.wake.set()
 
+    def announce(self, records):
+        """Begin an exchange with some nodes, to tell them the version in force.
+
+        Parameters
+        ----------
+        records : list of PeerRecord
+            The nodes.
+        """
+        for record in records:
+            link = self._links.get(record.peer_address)
+            if link is not None:
+                link.wake.set()
+
     def push(self):
         """Send a change of this node's record to all nodes soon."""
         if self._is_push_due:
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -2,18 +2,22 @@
 
 import asyncio
 
-from gentianlink.core.errors import HistoryUnavailable, PlatformError
+from gentianlink.core.errors import (
+    HistoryUnavailable,
+    PlatformError,
+    PlatformOutcomeUnknown,
+)
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.platform.wire import CATALOGUE_KEY
 from gentianlink.sidecar.backoff import compute_backoff_s
+from gentianlink.sidecar.poll_margin import PollMargin
 from gentianlink.sidecar.version_lag import VersionLag
 
 _LOG = get_logger("feed")
 
 # Duration of a long poll of the table. Calls to the platform are billed, so it is long,
-# but a call that hangs must be noticed before the next version is due, within two
-# seconds.
+# but a call that hangs must be noticed within three seconds, see `PollMargin`.
 TABLE_WAIT_MS = 2000
 FIRST_BACKOFF_MS = 100
 # After an outage the next version must be in force within two seconds.
@@ -23,6 +27,7 @@
 PAUSE_FACTOR = 2.0
 MAX_PAUSE_S = 0.8
 BITS_PER_BYTE = 8
+MS_PER_S = 1000
 # Size of a row's value in base64, relative to its plain size.
 BASE64_RATIO = 4 / 3
 # Period of fetching from peers while the table service is unavailable.
@@ -63,6 +68,7 @@
         self._attempt = 0
         self._last_peer_fetch_ms = 0.0
         self._lag = VersionLag()
+        self._margin = PollMargin()
         self._peer_fetches = 0
         self._call_started_ms = None
 
@@ -119,21 +125,39 @@
         if self._revision is None:
             changes = await self._table.read_all()
         else:
-            # After a failure the service may have returned from an older copy, which an
-            # answer shows; a long poll would delay it.
-            wait_ms = 0 if self._is_lost else TABLE_WAIT_MS
-            changes = await self._table.wait_for_changes(
-                self._revision, self._era, wait_ms
-            )
+            changes = await self._poll_table()
         self._is_reading = True
         self._revision, self._era = changes.revision, changes.era
         size = 0
+        is_newer = False
         for row in changes.rows:
             if row.key == CATALOGUE_KEY and not row.is_removed:
                 size += len(row.value)
-                self._holder.install_version(row.value, "table")
+                is_newer |= self._holder.install_version(row.value, "table")
+        if is_newer:
+            # The table may not answer the readers of another data centre.
+            self._exchange.announce(self._reader_selector.list_remote_readers())
+        if size:
+            transfer_s = compute_transfer_s(size, self._link_mbps)
+            self._margin.note_transfer(transfer_s * MS_PER_S)
         return compute_pause_s(size, self._link_mbps)
 
+    async def _poll_table(self):
+        # After a failure the service may have returned from an older copy, which an
+        # answer shows; a long poll would delay it.
+        wait_ms = 0 if self._is_lost else TABLE_WAIT_MS
+        started_ms = get_monotonic_ms()
+        try:
+            changes = await self._table.wait_for_changes(
+                self._revision, self._era, wait_ms, self._margin.compute_ms()
+            )
+        except PlatformOutcomeUnknown:
+            self._margin.note_timeout()
+            raise
+        if not changes.rows:
+            self._margin.note_answer(get_monotonic_ms() - started_ms - wait_ms)
+        return changes
+
     async def _follow(self, reader):
         if self._is_reading:
             _LOG.info("leaving the table to another node", reader=reader.node_id)
@@ -215,6 +239,24 @@
         )
 
 
+def compute_transfer_s(size, link_mbps):
+    """Return the time in which a version crosses the link of this node.
+
+    Parameters
+    ----------
+    size : int
+        Size of the version in bytes.
+    link_mbps : float
+        Bandwidth of the link in megabits per second.
+
+    Returns
+    -------
+    float
+        Time in seconds.
+    """
+    return size * BASE64_RATIO * BITS_PER_BYTE / (link_mbps * 1e6)
+
+
 def compute_pause_s(size, link_mbps):
     """Return the pause after reading a version from the table.
 
@@ -230,5 +272,4 @@
     float
         Pause in seconds, shorter than the time in which a version must be in force.
     """
-    transfer_s = size * BASE64_RATIO * BITS_PER_BYTE / (link_mbps * 1e6)
-    return min(MAX_PAUSE_S, PAUSE_FACTOR * transfer_s)
+    return min(MAX_PAUSE_S, PAUSE_FACTOR * compute_transfer_s(size, link_mbps))
--- a/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_rule_feed.py
@@ -16,17 +16,21 @@
     measure_delay_s,
     run_feed_model,
 )
+from gentianlink.testing.sidecar_world import RULES, SidecarWorld
 from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
 
 # A confirmed version must be in force at every node within this time.
 APPLY_S = 2.0
+# The table counts as healthy again this long after it has failed.
+STABLE_S = 3.0
 CHECK_PERIOD_S = 0.1
 LENGTH_S = 10.0
 
 
 @pytest.fixture(autouse=True)
-def virtual_clock(monkeypatch):
-    monkeypatch.setattr(rule_feed, "get_monotonic_ms", get_virtual_ms)
+def virtual_clock(request, monkeypatch):
+    if request.cls is not TestSilentDataCentre:
+        monkeypatch.setattr(rule_feed, "get_monotonic_ms", get_virtual_ms)
 
 
 class Peers:
@@ -35,6 +39,9 @@
     def __init__(self, operator):
         self._operator = operator
 
+    def announce(self, records):
+        pass
+
     async def fetch_rules(self, version):
         return self._operator.holder.encode_since(version)
 
@@ -101,6 +108,61 @@
         assert run_virtual(run_scenario()) < APPLY_S
 
 
+class TestSilenceThatEnds:
+    """The table leaves all readers unanswered for a while, then answers new calls."""
+
+    @pytest.mark.parametrize("started_s", [0.1, 1.0, 2.05, 2.9])
+    @pytest.mark.parametrize("silence_s", [0.05, 1.0, 3.0])
+    def test_versions_are_in_force_once_the_table_has_been_healthy_for_a_while(
+        self, started_s, silence_s
+    ):
+        # Guards against a wait on a connection that has lost its answer (CONFIG).
+        async def run_scenario():
+            operator = ModelOperator()
+            operator.write(1)
+            feeds = ModelFeeds(operator, 6)
+            tasks = [asyncio.create_task(feed.run()) for feed in feeds.feeds]
+            await asyncio.sleep(started_s)
+            for table in feeds.tables:
+                table.is_silent = True
+            await asyncio.sleep(silence_s)
+            for table in feeds.tables:
+                table.is_silent = False
+            operator.write(2)
+            await asyncio.sleep(STABLE_S)
+            versions = {holder.version for holder in feeds.holders}
+            for task in tasks:
+                task.cancel()
+            return versions
+
+        assert run_virtual(run_scenario()) == {2}
+
+
+class TestSilentDataCentre:
+    """The table answers all nodes of one data centre and none of the other."""
+
+    def test_version_crosses_from_the_other_data_centre(self):
+        # Guards against versions that only the exchange of state announces (CONFIG).
+        async def run_scenario():
+            data_centres = ("a", "a", "b", "b", "b")
+            services = ("inquiry",) * len(data_centres)
+            world = SidecarWorld(services, data_centres, unanswered_data_centres=("b",))
+            async with world:
+                # Wait until the exchange that a start causes is over.
+                await asyncio.sleep(0.5)
+                world.set_unanswered(True)
+                for version in range(2, 5):
+                    world.write_catalogue(version, RULES)
+                    await world.wait_until(
+                        lambda version=version: all(
+                            node.sidecar.version >= version for node in world.nodes
+                        ),
+                        APPLY_S,
+                    )
+
+        asyncio.run(run_scenario())
+
+
 class TestFailingReader:
     """One of two readers fails in any way, for any time, in a series of versions."""
 
--- a/packages/testing/src/gentianlink/testing/feed_model.py
+++ b/packages/testing/src/gentianlink/testing/feed_model.py
@@ -21,13 +21,13 @@
 from gentianlink.core.errors import PlatformOutcomeUnknown, PlatformUnavailable
 from gentianlink.core.row_change import RowChange
 from gentianlink.core.row_changes import RowChanges
-from gentianlink.platform.table_client import LONG_POLL_MARGIN_MS
 from gentianlink.platform.wire import CATALOGUE_KEY
 from gentianlink.sidecar import rule_feed
 from gentianlink.sidecar.peer_directory import PeerDirectory
 from gentianlink.sidecar.peer_endpoint import make_peer_handler
 from gentianlink.sidecar.peer_exchange import FOLLOW_PATH_PREFIX, FOLLOW_TIMEOUT_MS
 from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
 from gentianlink.sidecar.reader_selector import READERS_PER_DATA_CENTRE, ReaderSelector
 from gentianlink.sidecar.rule_feed import RuleFeed
 from gentianlink.sidecar.rule_holder import RuleHolder
@@ -83,26 +83,48 @@
 
     def __init__(self, operator):
         self._operator = operator
-        self.is_silent = False
+        self._is_silent = False
+        self._silences = 0
         self.is_refusing = False
         self.delay_s = 0.0
 
+    @property
+    def is_silent(self):
+        """Whether calls that begin now, and those under way, are never answered."""
+        return self._is_silent
+
+    @is_silent.setter
+    def is_silent(self, is_silent):
+        self._is_silent = is_silent
+        self._silences += is_silent
+
     async def read_all(self):
         """Return the operator's row."""
-        await self._answer(LONG_POLL_MARGIN_MS)
+        await self._answer(MAX_MARGIN_MS, self.is_silent)
         return RowChanges((self._operator.row,), self._operator.row.revision)
 
-    async def wait_for_changes(self, revision, era, wait_ms):
+    async def wait_for_changes(self, revision, era, wait_ms, margin_ms):
         """Return the operator's row once it has changed."""
+        silences = self._silences
+        is_lost = self.is_silent
+        started_s = asyncio.get_running_loop().time()
         newer = await self._operator.holder.wait_for_newer(revision, wait_ms / 1000)
-        await self._answer(LONG_POLL_MARGIN_MS)
+        if is_lost or self._silences != silences:
+            is_lost = True
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            await asyncio.sleep(wait_ms / 1000 - elapsed_s)
+        await self._answer(margin_ms, is_lost)
         rows = (self._operator.row,) if newer else ()
         return RowChanges(rows, self._operator.row.revision)
 
-    async def _answer(self, timeout_ms):
+    async def _answer(self, timeout_ms, is_lost):
         if self.is_refusing:
             raise PlatformUnavailable("status 503")
-        if self.is_silent:
+        if is_lost:
+            # The connection stays silent, also once the service answers new ones.
+            await asyncio.sleep(timeout_ms / 1000)
+            raise PlatformOutcomeUnknown("timed out")
+        if self.delay_s > timeout_ms / 1000:
             await asyncio.sleep(timeout_ms / 1000)
             raise PlatformOutcomeUnknown("timed out")
         await asyncio.sleep(self.delay_s)
@@ -140,6 +162,9 @@
             handler = make_peer_handler(None, holder, feed, None, 1)
             self._handlers[own.node_id] = handler
 
+    def announce(self, records):
+        """Tell nothing to other data centres; there are none in this model."""
+
     async def follow_rules(self, record, version):
         """Long-poll a node for a version newer than the given one."""
         if record.node_id in self.dead_nodes:
--- a/packages/testing/src/gentianlink/testing/sidecar_world.py
+++ b/packages/testing/src/gentianlink/testing/sidecar_world.py
@@ -12,6 +12,7 @@
 from gentianlink.sidecar.peer_codec import decode_record
 from gentianlink.sidecar.settings import SidecarSettings
 from gentianlink.sidecar.sidecar import Sidecar
+from gentianlink.testing.flaky_gateway import FlakyGateway
 from gentianlink.testing.loopback import get_own_address, get_ports
 from gentianlink.testing.platform_service import make_application
 from gentianlink.testing.raw_http import exchange
@@ -232,17 +233,30 @@
         Data centre of each node; by default all nodes are in the same one.
     rules : list of dict, optional
         Rules of version 1 of the catalogue.
+    unanswered_data_centres : sequence of str, optional
+        Data centres whose nodes the platform may leave unanswered while it answers
+        the others.
     """
 
-    def __init__(self, services, data_centres=None, rules=RULES):
+    def __init__(
+        self, services, data_centres=None, rules=RULES, unanswered_data_centres=()
+    ):
         self._application = make_application()
         self._rules = rules
-        platform = f"{get_own_address(250)}:{get_ports(1)[0]}"
+        platform, gateway = (f"{get_own_address(250)}:{port}" for port in get_ports(2))
         self._platform_address = platform
+        self._gateway = FlakyGateway(gateway, platform)
         self._server = None
         node_data_centres = data_centres or ["a"] * len(services)
         self.nodes = [
-            SidecarNode(number, service, f"http://{platform}", data_centre)
+            SidecarNode(
+                number,
+                service,
+                f"http://{gateway}"
+                if data_centre in unanswered_data_centres
+                else f"http://{platform}",
+                data_centre,
+            )
             for number, (service, data_centre) in enumerate(
                 zip(services, node_data_centres, strict=True), start=1
             )
@@ -259,6 +273,10 @@
         rule = self._application.wildcard_router.rules[0]
         return rule.target_kwargs["fault_state"]
 
+    def set_unanswered(self, is_unanswered):
+        """Set whether the platform leaves `unanswered_data_centres` unanswered."""
+        self._gateway.is_silent = is_unanswered
+
     def write_catalogue(self, version, rules):
         """Write a version of the catalogue as an operator does."""
         self.write_operator_row(encode_catalogue(version, rules))
@@ -278,6 +296,7 @@
         host, _, port = self._platform_address.rpartition(":")
         self._server = HTTPServer(self._application)
         self._server.add_sockets(bind_sockets(int(port), host))
+        await self._gateway.start()
         self.write_catalogue(1, self._rules)
         for node in self.nodes:
             await node.target.start()
@@ -311,5 +330,6 @@
         for node in self.nodes:
             await node.kill()
             await node.target.stop()
+        await self._gateway.stop()
         self._server.stop()
         await self._server.close_all_connections()
