Accept catalogues with kinds of rules that this release does not know

Cause: the decoder refused a whole version because one of its rules has the kind "upload". Any new word for a kind did the same to every deployment.

Change: a rule of any kind other than the repeatable one is executed at most once. What can't be right (a missing service, a version without a number) still refuses the version whole. The limit of bodies is read from the catalogue and travels with deltas; nodes of earlier releases ask by another path and get the values that they accept.

--- a/packages/platform/src/gentianlink/platform/catalogue_codec.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_codec.py
@@ -4,13 +4,14 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.core.rule import Rule
-from gentianlink.core.rule_set import RuleSet
+from gentianlink.core.rule_set import UNLIMITED_BYTES, RuleSet
 from gentianlink.core.service_weight import ServiceWeight
 
 MS_PER_S = 1000
 KIND_REPEATABLE = "safe"
-KINDS = (KIND_REPEATABLE, "unsafe")
-DEFAULT_IDLE_TIMEOUT_S = 60.0
+# Calls of every other kind, known or not, are executed at most once.
+KINDS = (KIND_REPEATABLE, "unsafe", "upload")
+DEFAULT_IDLE_TIMEOUT_S = 60
 VERSION_PREFIX = "r"
 
 
@@ -36,15 +37,23 @@
         value = orjson.loads(data)
         version = _decode_version(value["version"])
         services = frozenset(row["name"] for row in _decode_table(value["services"]))
-        rules = [_decode_rule(row, services) for row in _decode_table(value["routes"])]
+        rows = _decode_table(value["routes"])
+        rules = [_decode_rule(row, services) for row in rows]
+        kinds = {str(row["kind"]) for row in rows}
+        unknown_kinds = tuple(sorted(kinds.difference(KINDS)))
         limits = value.get("limits") or {}
-        idle_s = float(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S)
+        idle_ms = (
+            float(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S) * MS_PER_S
+        )
+        max_body_bytes = int(limits.get("max_body_bytes") or UNLIMITED_BYTES)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise CodecError(f"{type(error).__name__}: {error}") from error
     rules_by_location = {}
     for rule in rules:
         rules_by_location.setdefault((rule.host, rule.prefix), rule)
-    return RuleSet(version, rules_by_location, services, idle_s * MS_PER_S)
+    return RuleSet(
+        version, rules_by_location, services, idle_ms, max_body_bytes, unknown_kinds
+    )
 
 
 def _decode_version(text):
@@ -59,9 +68,6 @@
 
 
 def _decode_rule(row, services):
-    kind = row["kind"]
-    if kind not in KINDS:
-        raise ValueError(f"unknown kind {kind!r}")
     prefix = row["prefix"]
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix without a slash at both ends: {prefix!r}")
@@ -77,7 +83,7 @@
         name=row["name"],
         host=row["host"].lower(),
         prefix=prefix,
-        is_repeatable=kind == KIND_REPEATABLE,
+        is_repeatable=row["kind"] == KIND_REPEATABLE,
         timeout_ms=timeout_ms,
         target_latency_ms=latency_ms,
         priority=int(row.get("priority") or 0),
--- a/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
@@ -10,6 +10,7 @@
     FENCE_PATH,
     FOLLOW_PATH_PREFIX,
     FOLLOW_WAIT_S,
+    RELEASE_PREFIX,
     RULES_PATH_PREFIX,
 )
 from gentianlink.sidecar.status import (
@@ -49,11 +50,15 @@
     def handle(method, path, body):
         if path == EXCHANGE_PATH:
             return exchange.answer_exchange(body)
-        if path.startswith(RULES_PATH_PREFIX):
-            version = _parse_version(path, RULES_PATH_PREFIX)
-            return Reply(body=holder.encode_since(version))
-        if path.startswith(FOLLOW_PATH_PREFIX):
-            return _follow(holder, feed, _parse_version(path, FOLLOW_PATH_PREFIX))
+        # Earlier releases ask without this prefix, for an earlier form of deltas.
+        is_earlier = not path.startswith(RELEASE_PREFIX)
+        resource = path.removeprefix(RELEASE_PREFIX)
+        if resource.startswith(RULES_PATH_PREFIX):
+            version = _parse_version(resource, RULES_PATH_PREFIX)
+            return Reply(body=holder.encode_since(version, is_earlier))
+        if resource.startswith(FOLLOW_PATH_PREFIX):
+            version = _parse_version(resource, FOLLOW_PATH_PREFIX)
+            return _follow(holder, feed, version, is_earlier)
         if path == FENCE_PATH:
             return _fence(dispatches, incarnation, body)
         return Reply(STATUS_NOT_FOUND)
@@ -66,14 +71,14 @@
     return int(version) if version.isdigit() else 0
 
 
-async def _follow(holder, feed, version):
+async def _follow(holder, feed, version, is_earlier):
     # This node may be about to take over as a reader: a follower can notice the loss of
     # the previous reader earlier.
     wait_s = FOLLOW_WAIT_S if feed.is_reading else TAKEOVER_WAIT_S
     is_newer = await holder.wait_for_newer(version, wait_s)
     if not is_newer and not feed.is_reading:
         return Reply(STATUS_UNAVAILABLE)
-    return Reply(body=holder.encode_since(version))
+    return Reply(body=holder.encode_since(version, is_earlier))
 
 
 def _fence(dispatches, incarnation, body):
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -14,13 +14,15 @@
 from gentianlink.sidecar.peer_directory import FORGET_MS, compute_period_ms
 from gentianlink.sidecar.peer_link import PeerLink
 from gentianlink.sidecar.peer_message import PeerMessage
-from gentianlink.sidecar.status import STATUS_BAD_REQUEST, STATUS_OK
+from gentianlink.sidecar.status import STATUS_BAD_REQUEST, STATUS_NOT_FOUND, STATUS_OK
 
 _LOG = get_logger("peers")
 
 EXCHANGE_PATH = "/exchange"
 RULES_PATH_PREFIX = "/rules/"
 FOLLOW_PATH_PREFIX = "/follow/"
+# Prefix of these two for deltas with all values; earlier releases do not know it.
+RELEASE_PREFIX = "/v2"
 FENCE_PATH = "/fence"
 
 # Exponential back-off after exchanges without an answer.
@@ -297,7 +299,11 @@
         link = self._links.get(record.peer_address)
         if link is None:
             raise PlatformUnavailable(f"no link to {record.node_id}")
-        answer = await link.connections.send("GET", path, timeout_ms=timeout_ms)
+        answer = await link.connections.send(
+            "GET", RELEASE_PREFIX + path, timeout_ms=timeout_ms
+        )
+        if answer.code == STATUS_NOT_FOUND:
+            answer = await link.connections.send("GET", path, timeout_ms=timeout_ms)
         if answer.code != STATUS_OK:
             raise PlatformUnavailable(f"status {answer.code}")
         return answer.body
--- a/packages/sidecar/src/gentianlink/sidecar/rule_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_codec.py
@@ -11,27 +11,36 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.core.rule import Rule
+from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.core.service_weight import ServiceWeight
 from gentianlink.sidecar.rule_delta import RuleDelta
 
 # Higher levels take several times as long and reduce the size by only a tenth.
 COMPRESSION_LEVEL = 1
 
+# Nodes of earlier releases accept only the values before this position.
+FIRST_NEW_VALUE = 6
 
-def encode_delta(delta):
+
+def encode_delta(delta, is_for_earlier_release=False):
     """Encode a catalogue delta.
 
     Parameters
     ----------
     delta : RuleDelta
         The delta.
+    is_for_earlier_release : bool, optional
+        Whether to leave out what nodes of earlier releases do not accept.
 
     Returns
     -------
     bytes
         Nested JSON lists, compressed with zlib.
     """
-    return zlib.compress(orjson.dumps(attrs.astuple(delta)), COMPRESSION_LEVEL)
+    values = attrs.astuple(delta)
+    if is_for_earlier_release:
+        values = values[:FIRST_NEW_VALUE]
+    return zlib.compress(orjson.dumps(values), COMPRESSION_LEVEL)
 
 
 def decode_delta(data):
@@ -59,7 +68,8 @@
 
 
 def _parse_delta(values):
-    base, version, rules, dropped, services, idle_timeout_ms = values
+    base, version, rules, dropped, services, idle_timeout_ms, *rest = values
+    [max_body_bytes] = rest or [UNLIMITED_BYTES]
     return RuleDelta(
         base=int(base),
         version=int(version),
@@ -67,6 +77,7 @@
         dropped=tuple((str(host), str(prefix)) for host, prefix in dropped),
         services=tuple(str(name) for name in services),
         idle_timeout_ms=float(idle_timeout_ms),
+        max_body_bytes=int(max_body_bytes),
     )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/rule_delta.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_delta.py
@@ -6,7 +6,7 @@
 import attrs
 
 from gentianlink.core.rule import Rule
-from gentianlink.core.rule_set import RuleSet
+from gentianlink.core.rule_set import UNLIMITED_BYTES, RuleSet
 from gentianlink.ops.compare_items import compare_items
 
 
@@ -28,6 +28,8 @@
         Names of all services in the resulting version.
     idle_timeout_ms : float
         Idle timeout of callers' connections in milliseconds.
+    max_body_bytes : int
+        Largest body of a call in bytes.
     """
 
     base: int
@@ -36,6 +38,7 @@
     dropped: tuple[tuple[str, str], ...]
     services: tuple[str, ...]
     idle_timeout_ms: float
+    max_body_bytes: int = UNLIMITED_BYTES
 
 
 EMPTY_RULES = RuleSet(0, {}, frozenset(), 0.0)
@@ -62,6 +65,7 @@
         dropped=dropped,
         services=tuple(sorted(after.services)),
         idle_timeout_ms=after.idle_timeout_ms,
+        max_body_bytes=after.max_body_bytes,
     )
 
 
@@ -89,6 +93,7 @@
         rules=rules,
         services=frozenset(delta.services),
         idle_timeout_ms=delta.idle_timeout_ms,
+        max_body_bytes=delta.max_body_bytes,
     )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/rule_holder.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_holder.py
@@ -28,6 +28,7 @@
         self._kept = {EMPTY_RULES.version: EMPTY_RULES}
         self._encoded_deltas = {}
         self._refused = 0
+        self._unknown_kinds = 0
         self._version_changed = asyncio.Event()
 
     @property
@@ -45,6 +46,11 @@
         """Number of versions and deltas that could not be decoded or applied."""
         return self._refused
 
+    @property
+    def unknown_kinds(self):
+        """Number of unknown kinds of rules in the last version from the table."""
+        return self._unknown_kinds
+
     def install_version(self, data, source):
         """Put a version in force if it is valid and newer.
 
@@ -66,6 +72,7 @@
             return self._refuse(source, str(error))
         if rules.version <= self.version:
             return False
+        self._note_unknown_kinds(rules)
         self._put_in_force(share_rules(self._rules or EMPTY_RULES, rules), source)
         return True
 
@@ -96,6 +103,15 @@
         self._put_in_force(apply_delta(base, delta), source)
         return True
 
+    def _note_unknown_kinds(self, rules):
+        self._unknown_kinds = len(rules.unknown_kinds)
+        if rules.unknown_kinds:
+            _LOG.warning(
+                "kinds of rules unknown; their calls are executed at most once",
+                version=rules.version,
+                kinds=list(rules.unknown_kinds),
+            )
+
     def _refuse(self, source, why):
         self._refused += 1
         _LOG.error("version refused", source=source, why=why, kept=self.version)
@@ -117,13 +133,15 @@
         self._version_changed.set()
         self._version_changed = asyncio.Event()
 
-    def encode_since(self, version):
+    def encode_since(self, version, is_for_earlier_release=False):
         """Return the encoded delta from a version to the version in force.
 
         Parameters
         ----------
         version : int
             Version in force at the other node.
+        is_for_earlier_release : bool, optional
+            Whether the other node's release has an earlier form of deltas.
 
         Returns
         -------
@@ -134,10 +152,11 @@
         if version >= self.version:
             return b""
         base = self._kept.get(version, EMPTY_RULES)
-        if base.version not in self._encoded_deltas:
+        key = base.version, is_for_earlier_release
+        if key not in self._encoded_deltas:
             delta = compute_delta(base, self._rules)
-            self._encoded_deltas[base.version] = encode_delta(delta)
-        return self._encoded_deltas[base.version]
+            self._encoded_deltas[key] = encode_delta(delta, is_for_earlier_release)
+        return self._encoded_deltas[key]
 
     async def wait_for_newer(self, version, wait_s):
         """Wait until a version newer than a given one is in force.
--- a/packages/testing/src/gentianlink/testing/feed_model.py
+++ b/packages/testing/src/gentianlink/testing/feed_model.py
@@ -25,7 +25,11 @@
 from gentianlink.sidecar import rule_feed
 from gentianlink.sidecar.peer_directory import PeerDirectory
 from gentianlink.sidecar.peer_endpoint import make_peer_handler
-from gentianlink.sidecar.peer_exchange import FOLLOW_PATH_PREFIX, FOLLOW_TIMEOUT_MS
+from gentianlink.sidecar.peer_exchange import (
+    FOLLOW_PATH_PREFIX,
+    FOLLOW_TIMEOUT_MS,
+    RELEASE_PREFIX,
+)
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
 from gentianlink.sidecar.reader_selector import READERS_PER_DATA_CENTRE, ReaderSelector
@@ -173,7 +177,9 @@
             await asyncio.sleep(FOLLOW_TIMEOUT_S)
             raise PlatformOutcomeUnknown("timed out")
         handler = self._handlers[record.node_id]
-        reply = await handler("GET", f"{FOLLOW_PATH_PREFIX}{version}", b"")
+        reply = await handler(
+            "GET", f"{RELEASE_PREFIX}{FOLLOW_PATH_PREFIX}{version}", b""
+        )
         if reply.status != STATUS_OK:
             raise PlatformUnavailable(f"status {reply.status}")
         return reply.body
