Never execute a call with a part of its body; stream large bodies

Callers with bodies above 128 KB were told 200 while the target had executed the first 130 KB of the body; so were callers that stopped in the middle of a large body, and callers whose chunks could not be read.

Cause: the reader of requests refuses a body above 64 KiB unless its server has set limits, by a field that each server had to look at. The two servers of the sidecar set no limits and did not look, and made a call from what had arrived.

Change: the base server handles a refusal of the reader itself, so no server can route a refused request; a call can only be made from a body that is complete or that a stream delivers (BodyIncomplete otherwise). Bodies up to 512 KiB are buffered whole within 8 MiB for each of the two servers, larger ones are streamed, up to the catalogue's limit (413 beyond it). A refused caller's body is read to its end, 1 MiB at most, so that the refusal is not lost by a reset. A stream that fails no longer keeps its reader waiting.

test_target_that_closes_early_leaks_no_connection closes its caller before it waits for the connections to end: the node keeps a connection open now after a refusal.

--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -1,5 +1,7 @@
 """Read one request of a caller: buffer a small body, stream a large one."""
 
+import asyncio
+
 from tornado.httputil import HTTPMessageDelegate
 
 from gentianlink.core import headers as names
@@ -9,6 +11,7 @@
 from gentianlink.node.proxy.answer_writer import strip_headers
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.call_parser import parse_attempt, parse_caller
+from gentianlink.node.proxy.errors import BodyIncomplete
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_body import RequestBody
 
@@ -23,6 +26,10 @@
         "Expect",
     )
 )
+# A refused caller reads the answer after it has sent the body; a larger rest is not
+# worth reading for that.
+MAX_DISCARDED_BYTES = 1 << 20
+MAX_DISCARD_S = 1.0
 METHODS_WITH_CHUNKED_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -49,6 +56,9 @@
         self._received_bytes = 0
         self._buffer_bytes = BUFFER_BYTES
         self._max_bytes = BUFFER_BYTES
+        self._budget_bytes = 0
+        self._is_finished = False
+        self._ended = asyncio.Event()
         self.connection = connection
         self.start_line = None
         self.headers = None
@@ -103,34 +113,86 @@
             return None
         self._chunks.append(chunk)
         if self._received_bytes > self._max_bytes:
+            self._chunks.clear()
             self.refusal = Refusal(Reason.BODY_TOO_LARGE)
             self._start()
-        elif self._received_bytes > self._buffer_bytes:
+        elif not self._may_buffer(len(chunk)):
             self._start_stream()
         return None
 
+    def _may_buffer(self, size):
+        if self._received_bytes <= BUFFER_BYTES:
+            return True
+        if self._received_bytes > self._buffer_bytes:
+            return False
+        if not self._server.body_budget.try_take(size):
+            return False
+        self._budget_bytes += size
+        return True
+
     def _put(self, chunk):
         if self._received_bytes <= self._max_bytes:
             return self._stream.put(chunk)
+        self.refusal = Refusal(Reason.BODY_TOO_LARGE)
         self._stream.fail()
         return None
 
     def _start_stream(self):
         is_sized = "Content-Length" in self.headers
-        if not is_sized and self.start_line.method not in METHODS_WITH_CHUNKED_BODY:
+        if is_sized or self.start_line.method in METHODS_WITH_CHUNKED_BODY:
+            self._stream = RequestBody(b"".join(self._chunks))
+        else:
             self.refusal = Refusal(Reason.BAD_REQUEST)
-        self._stream = RequestBody(b"".join(self._chunks))
         self._chunks.clear()
         self._start()
 
     def finish(self):
         """End a streamed body; handle the call unless that has begun."""
+        self._is_finished = True
+        self._ended.set()
         if self._stream is not None:
             self._stream.end()
         if self._task is None:
             self._start()
         self.connection.set_close_callback(self.on_connection_close)
 
+    async def discard_body(self):
+        """Read the rest of the body without keeping it, if it is short enough.
+
+        A connection that is closed with unread bytes is reset, so that its caller
+        would not see the answer.
+        """
+        if self._stream is not None:
+            self._stream.discard()
+        if self._is_finished:
+            return
+        if self.body_bytes - self._received_bytes > MAX_DISCARDED_BYTES:
+            return
+        try:
+            async with asyncio.timeout(MAX_DISCARD_S):
+                await self._ended.wait()
+        except TimeoutError:
+            return
+
+    def release_body(self):
+        """Return the buffered bytes to the server's budget."""
+        self._server.body_budget.give_back(self._budget_bytes)
+        self._budget_bytes = 0
+
+    def _take_body(self):
+        """Return the whole body; empty if the rest of it is streamed.
+
+        Raises
+        ------
+        BodyIncomplete
+            If a part of the body is missing that no stream will deliver.
+        """
+        if self._stream is None and not self._is_finished:
+            raise BodyIncomplete(f"{self._received_bytes} bytes have arrived")
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
+
     def refuse(self, refusal):
         """Refuse the request before all of it has arrived.
 
@@ -149,10 +211,13 @@
     def on_connection_close(self):
         """Cancel the call after the caller closed its connection."""
         self._server.end_arrival(self)
+        self._ended.set()
         if self._stream is not None:
             self._stream.fail()
         if self._task is not None:
             self._task.cancel()
+        else:
+            self.release_body()
 
     def make_call(self, remaining_ms):
         """Return the call that was read, with the headers to forward.
@@ -171,7 +236,7 @@
             The call.
         """
         headers = self.headers
-        body = b"".join(self._chunks)
+        body = self._take_body()
         caller = parse_caller(headers, self._remote_address)
         attempt = parse_attempt(headers)
         strip_headers(headers, HEADERS_NOT_FORWARDED)
--- a/packages/node/src/gentianlink/node/proxy/errors.py
+++ b/packages/node/src/gentianlink/node/proxy/errors.py
@@ -33,3 +33,7 @@
 
 class BadAnswer(ExchangeError):
     """The answer is unframed, so that its end looks like a lost connection."""
+
+
+class BodyIncomplete(GentianlinkError):
+    """A call was to be made from a request whose body has not arrived completely."""
--- a/packages/node/src/gentianlink/node/proxy/request_body.py
+++ b/packages/node/src/gentianlink/node/proxy/request_body.py
@@ -5,7 +5,7 @@
 
 from tornado.iostream import StreamClosedError
 
-MAX_BUFFERED_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 128 * 1024
 
 
 class RequestBody:
@@ -42,6 +42,10 @@
         """Bytes that have arrived and have not been read."""
         return self._buffered_bytes
 
+    @property
+    def _is_over(self):
+        return self._is_discarded or self._is_failed
+
     async def put(self, chunk):
         """Add a part of the body; wait while the buffer is full.
 
@@ -55,7 +59,7 @@
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
         self._change.set()
-        while self._buffered_bytes >= MAX_BUFFERED_BYTES and not self._is_discarded:
+        while self._buffered_bytes >= MAX_BUFFERED_BYTES and not self._is_over:
             self._change.clear()
             await self._change.wait()
 
--- a/packages/node/src/gentianlink/node/proxy/request_server.py
+++ b/packages/node/src/gentianlink/node/proxy/request_server.py
@@ -6,11 +6,13 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.background import start_task
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.answer_writer import AnswerWriter
+from gentianlink.node.proxy.buffer_budget import BufferBudget
 from gentianlink.node.proxy.call_reader import CallReader
 from gentianlink.node.proxy.call_stream import CallConnection, CallStream
 from gentianlink.node.proxy.errors import CallerGone
@@ -22,6 +24,8 @@
 MAX_BODY_BYTES = 1 << 40
 READ_CHUNK_BYTES = 1 << 16
 MAX_BUFFER_BYTES = 1 << 20
+# Bodies above `call_reader.BUFFER_BYTES` that are buffered whole at the same time.
+BODY_BUDGET_BYTES = 8 << 20
 MAX_IDLE_MS = 60_000
 NOT_READY_RETRY_MS = 200
 
@@ -41,6 +45,7 @@
         self._streams = {}
         self._stop_callbacks = []
         self._is_stopping = False
+        self.body_budget = BufferBudget(BODY_BUDGET_BYTES)
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -155,7 +160,14 @@
     async def _handle(self, reader):
         writer = AnswerWriter(reader.connection, reader.start_line.method == "HEAD")
         try:
-            refusal = await self.serve(reader, writer)
+            refusal = reader.refusal
+            if refusal is None:
+                refusal = await self.serve(reader, writer)
+                if _is_not_run(refusal) and reader.refusal is not None:
+                    # The body turned out to be too large while it was streamed.
+                    refusal = reader.refusal
+            else:
+                self.note_early_refusal(reader, refusal)
             await self._finish(reader, refusal, writer)
         except CallerGone:
             _LOG.debug("caller closed its connection", path=reader.path)
@@ -167,6 +179,7 @@
             raise
         finally:
             reader.connection.stream.is_answer_due = False
+            reader.release_body()
 
     async def _finish(self, reader, refusal, writer):
         self.count(reader, refusal)
@@ -175,10 +188,14 @@
         if writer.is_started:
             writer.abort()
             return
+        await reader.discard_body()
         if self._is_stopping:
             reader.connection.close_after_answer()
         await self.write_refusal(writer, refusal)
 
+    def note_early_refusal(self, reader, refusal):
+        """Take note of a call that is refused while its body arrives."""
+
     def count(self, reader, refusal):
         """Count a finished call; the base class counts nothing."""
 
@@ -228,3 +245,7 @@
         """Close all connections of callers."""
         for stream in list(self._streams):
             stream.close()
+
+
+def _is_not_run(refusal):
+    return refusal is not None and refusal.outcome is Outcome.NOT_RUN
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -97,7 +97,7 @@
 
     async def serve(self, reader, writer):
         """Serve one call by its route, or on the local target that its header names."""
-        refusal = reader.refusal or self.check(reader)
+        refusal = self.check(reader)
         if refusal is not None:
             return refusal
         table = self._get_table()
--- a/packages/node/src/gentianlink/node/proxy/test_streaming.py
+++ b/packages/node/src/gentianlink/node/proxy/test_streaming.py
@@ -139,6 +139,7 @@
             caller = await tools.caller.connect(node)
             caller.send(make_head(SIZED) + BODY)
             status, headers, _ = await caller.read_answer()
+            caller.close()
             for item in bench.nodes:
                 while item.server.connections:
                     await asyncio.sleep(0)
--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -31,6 +31,8 @@
     "catalogue_newest_version": "Newest version that another node has in force.",
     "catalogue_lag_seconds": "Time for which a version of another node is missing.",
     "feed_call_seconds": "Age of the unanswered call to the source of versions.",
+    "catalogue_unknown_kinds": "Kinds of rules that this release does not know.",
+    "buffered_body_bytes": "Bytes of large bodies that are arriving.",
     "gate_in_flight": "Calls that the target executes.",
     "gate_waiting": "Calls that wait for a slot.",
     "target_rate_limit": "Calls a second that the target accepts; -1 without limit.",
--- a/packages/sidecar/src/gentianlink/sidecar/call_reader.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_reader.py
@@ -6,6 +6,9 @@
 from gentianlink.platform import wire
 
 HEADERS_NOT_FORWARDED = frozenset(("Expect",))
+# A body up to this size is buffered whole while the server's budget lasts: until it is
+# complete it holds no slot of a target, and the call can go to another target.
+WHOLE_BODY_BYTES = 512 * 1024
 
 
 class SidecarCallReader(CallReader):
@@ -26,6 +29,17 @@
         """Id of the call, empty if it has none."""
         return self.headers.get(wire.REQUEST_ID, "")
 
+    def set_body_limits(self, max_bytes):
+        """Set how much of the body is accepted.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Largest body in bytes.
+        """
+        self._max_bytes = max_bytes
+        self._buffer_bytes = min(max_bytes, WHOLE_BODY_BYTES)
+
     def make_bounded_call(self, deadline_ms):
         """Return the call that was read, with the headers that are forwarded.
 
@@ -40,7 +54,7 @@
             The call.
         """
         headers = self.headers
-        body = b"".join(self._chunks)
+        body = self._take_body()
         strip_headers(headers, HEADERS_NOT_FORWARDED)
         if body:
             headers["Content-Length"] = str(len(body))
--- a/packages/sidecar/src/gentianlink/sidecar/caller_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/caller_server.py
@@ -1,6 +1,7 @@
 """The server for calls from callers, including the target beside this node."""
 
 from gentianlink.core.reason import Reason
+from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.call_parser import validate_request
@@ -56,6 +57,19 @@
         """Refuse all calls that arrive from now on."""
         self._is_refusing = True
 
+    def check(self, reader):
+        """Set the limits of the body; refuse a call whose body is too large."""
+        rules = self._get_rules()
+        max_bytes = UNLIMITED_BYTES if rules is None else rules.max_body_bytes
+        reader.set_body_limits(max_bytes)
+        if reader.body_bytes > max_bytes:
+            return Refusal(Reason.BODY_TOO_LARGE)
+        return None
+
+    def note_early_refusal(self, reader, refusal):
+        """Count and log a call that is refused while its body arrives."""
+        self._note_unrouted(reader, refusal)
+
     async def serve(self, reader, writer):
         """Route one call."""
         if self._is_closing:
@@ -91,18 +105,25 @@
 
     def _refuse(self, reader, reason, retry_after_ms):
         refusal = Refusal(reason, retry_after_ms=retry_after_ms)
+        self._note_unrouted(reader, refusal)
+        return refusal
+
+    def _note_unrouted(self, reader, refusal):
         self._metrics.count(
-            "calls_total", rule="", outcome=refusal.outcome.value, reason=reason.value
+            "calls_total",
+            rule="",
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
         )
         _LOG.info(
             "call refused before routing",
             id=reader.request_id,
             host=reader.headers.get("Host", ""),
             path=reader.path,
-            why=reason.value,
-            retry_after_ms=retry_after_ms,
+            body_bytes=reader.body_bytes,
+            why=refusal.reason.value,
+            retry_after_ms=refusal.retry_after_ms,
         )
-        return refusal
 
     def _record_call(self, reader, rule, service, version, elapsed_ms, refusal):
         outcome = "done" if refusal is None else refusal.outcome.value
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -1,6 +1,7 @@
 """The server for calls that other nodes forward to the target beside this node."""
 
 from gentianlink.core.reason import Reason
+from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
 from gentianlink.sidecar.call_reader import SidecarCallReader, parse_deadline_ms
@@ -36,6 +37,10 @@
         self._on_version = on_version
         self._incarnation = incarnation
 
+    def check(self, reader):
+        """Accept a body of any size: the other node has checked it."""
+        reader.set_body_limits(UNLIMITED_BYTES)
+
     async def serve(self, reader, writer):
         """Execute one call on the target beside this node."""
         hop = parse_hop(reader.headers.get(HOP_HEADER, ""))
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -293,7 +293,10 @@
         if self._limiter is not None:
             key = "log_lines_left_out_total", (("cause", "rate"),)
             totals[key] = self._limiter.left_out
+        servers = (self._caller_server, self._forward_server)
         gauges = {
+            "buffered_body_bytes": sum(item.body_budget.used_bytes for item in servers),
+            "catalogue_unknown_kinds": self._holder.unknown_kinds,
             "catalogue_version": self._holder.version,
             "catalogue_newest_version": self._directory.get_newest_version(),
             "catalogue_lag_seconds": self._feed.compute_lag_ms(now_ms) / 1000,
--- a/packages/testing/src/gentianlink/testing/raw_http.py
+++ b/packages/testing/src/gentianlink/testing/raw_http.py
@@ -30,7 +30,7 @@
 
 
 async def read_message(reader):
-    """Read one message whose body is delimited by ``Content-Length``.
+    """Read one message whose body has a length or is sent in chunks.
 
     Parameters
     ----------
@@ -51,10 +51,22 @@
     first_line, *lines = head.strip().split("\r\n")
     pairs = (line.partition(":") for line in lines)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
+    if headers.get("transfer-encoding") == "chunked":
+        return RawMessage(first_line, headers, await _read_chunks(reader))
     length = int(headers.get("content-length", "0"))
     return RawMessage(first_line, headers, await reader.readexactly(length))
 
 
+async def _read_chunks(reader):
+    chunks = []
+    while True:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        chunk = await reader.readexactly(size + 2)
+        if not size:
+            return b"".join(chunks)
+        chunks.append(chunk[:size])
+
+
 def format_message(first_line, headers, body=b""):
     """Return the bytes of a message, with a ``Content-Length`` header.
 
