--- a/packages/node/src/gentianlink/node/proxy/call_stream.py
+++ b/packages/node/src/gentianlink/node/proxy/call_stream.py
@@ -2,12 +2,12 @@
 
 import socket
 
-from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from gentianlink.core.reason import Reason
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.answer_writer import make_refusal_body, make_refusal_headers
+from gentianlink.node.proxy.header_parser import MessageConnection
 from gentianlink.node.proxy.refusal import Refusal
 
 _LOG = get_logger("proxy")
@@ -88,7 +88,7 @@
             return
 
 
-class CallConnection(HTTP1Connection):
+class CallConnection(MessageConnection):
     """One request and its answer on a caller's connection."""
 
     def close_after_answer(self):
--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import RequestStartLine
 from tornado.iostream import StreamClosedError
 
@@ -10,6 +10,7 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.errors import BadAnswer, CallerGone, TargetLost
 from gentianlink.node.proxy.exchange_timer import ExchangeTimer
+from gentianlink.node.proxy.header_parser import MessageConnection
 
 MAX_ANSWER_BYTES = 1 << 40
 # Late answers to earlier requests that are skipped on one connection.
@@ -50,7 +51,7 @@
     CallerGone
         If the caller closed its connection.
     """
-    connection = HTTP1Connection(stream, True, _PARAMETERS)
+    connection = MessageConnection(stream, True, _PARAMETERS)
     timer = ExchangeTimer(stream, relay, call.deadline_ms, silence_ms)
     timer.start(get_monotonic_ms())
     relay.set_stop_callback(stream.close)
@@ -65,7 +66,7 @@
                 break
             # Skip a late answer to an earlier request on this connection.
             relay.reset()
-            next_reader = HTTP1Connection(stream, True, _PARAMETERS)
+            next_reader = MessageConnection(stream, True, _PARAMETERS)
             # Nothing is sent; without this tornado waits for the end of a request.
             next_reader.finish()
             is_open = await next_reader.read_response(relay)
--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -37,6 +37,7 @@
     "gate_waiting": "Calls that wait for a slot.",
     "target_rate_limit": "Calls a second that the target accepts; -1 without limit.",
     "peers": "Other nodes that are known.",
+    "peer_links": "Nodes with which this node exchanges state.",
     "store_lost": "1 if the last call to the table service failed.",
 }
 
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -222,7 +222,9 @@
                 address, int(port), get_monotonic_ms(), max_idle_ms
             )
         except TargetUnreachable:
-            self._directory.note_lost(candidate.node_id, "no connection for a call")
+            self._directory.note_lost(
+                candidate.node_id, "no connection for a call", get_monotonic_ms()
+            )
             self._exchange.probe(record.peer_address)
             reason = Reason.TARGET_UNREACHABLE
             return None, Refusal(reason, retry_after_ms=STALE_STATE_RETRY_MS)
--- a/packages/sidecar/src/gentianlink/sidecar/log.py
+++ b/packages/sidecar/src/gentianlink/sidecar/log.py
@@ -51,7 +51,8 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger("info"),
         logger_factory=lambda *names: _WriterLogger(writer),
-        cache_logger_on_first_use=False,
+        # The loggers that are used before the settings are known are not kept.
+        cache_logger_on_first_use=bool(node_id),
     )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
@@ -11,26 +11,85 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.core.target_state import TargetState
-from gentianlink.sidecar.peer_message import PeerMessage
+from gentianlink.sidecar.peer_message import LostNode, PeerMessage
 from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.record_digest import BUCKETS
 from gentianlink.sidecar.target_info import TargetInfo
 from gentianlink.sidecar.target_load import TargetLoad
 
+# Nodes of earlier releases accept only the values before this position.
+FIRST_NEW_VALUE = 8
 
-def encode_message(message):
+
+def encode_message(message, is_for_earlier_release=False):
     """Encode a message of the state exchange.
 
     Parameters
     ----------
     message : PeerMessage
         The message.
+    is_for_earlier_release : bool, optional
+        Whether to leave out what nodes of earlier releases do not accept.
 
     Returns
     -------
     bytes
         Nested JSON lists.
     """
-    return orjson.dumps(attrs.astuple(message))
+    values = attrs.astuple(message)
+    if is_for_earlier_release:
+        values = values[:FIRST_NEW_VALUE]
+    return orjson.dumps(values)
+
+
+def encode_records(records):
+    """Encode a list of records."""
+    return orjson.dumps([attrs.astuple(record) for record in records])
+
+
+def decode_records(data):
+    """Decode a list of records.
+
+    Parameters
+    ----------
+    data : bytes
+        Output of :func:`encode_records`.
+
+    Returns
+    -------
+    list of PeerRecord
+        The records.
+
+    Raises
+    ------
+    CodecError
+        If the data is not a list of encoded records.
+    """
+    return _decode(data, lambda values: [_parse_record(item) for item in values])
+
+
+def decode_buckets(data):
+    """Decode the digests of another node's records.
+
+    Parameters
+    ----------
+    data : bytes
+        JSON list of the digests of all buckets.
+
+    Returns
+    -------
+    tuple of int
+        The digests.
+
+    Raises
+    ------
+    CodecError
+        If the data is not a list of as many digests as there are buckets.
+    """
+    buckets = _decode(data, lambda values: tuple(_check_type(v, int) for v in values))
+    if len(buckets) != BUCKETS:
+        raise CodecError(f"{len(buckets)} buckets in place of {BUCKETS}")
+    return buckets
 
 
 def encode_record(record):
@@ -88,7 +147,9 @@
 
 
 def _parse_message(values):
-    node_id, order, version, load, known_order, record, previous, addresses = values
+    node_id, order, version, load, known_order, record, previous, *rest = values
+    addresses, *rest = rest
+    digest, records, lost, missing_version, holder_id = rest or (0, (), (), 0, "")
     return PeerMessage(
         node_id=_check_type(node_id, str),
         order=_parse_order(order),
@@ -98,9 +159,19 @@
         record=None if record is None else _parse_record(record),
         previous=None if previous is None else _parse_record(previous),
         addresses=tuple(_check_type(address, str) for address in addresses),
+        digest=_check_type(digest, int),
+        records=tuple(_parse_record(item) for item in records),
+        lost=tuple(_parse_lost(item) for item in lost),
+        missing_version=_check_type(missing_version, int),
+        holder_id=_check_type(holder_id, str),
     )
 
 
+def _parse_lost(values):
+    node_id, order = values
+    return LostNode(_check_type(node_id, str), _parse_order(order))
+
+
 def _parse_record(values):
     node_id, incarnation, sequence, data_centre, *rest = values
     peer_address, forward_address, link_mbps, is_stopping, target = rest
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -6,24 +6,20 @@
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.choose import COLD_SHARE, Candidate
 from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.record_digest import RecordDigest
 
 _LOG = get_logger("peers")
 
-# A node that has been silent for this many exchange periods gets calls only if no other
-# node is left.
-QUIET_PERIODS = 2.5
-# Exchange period of a pair of nodes in a small deployment. It can be long because
-# answers to calls carry loads and versions as well.
-MIN_PERIOD_MS = 3000.0
-# Limit for the exchanges of one node; each costs about a millisecond of processor time.
-EXCHANGES_PER_S = 4
-MS_PER_S = 1000
 # Panic threshold: if fewer targets than this share are healthy, failing ones get calls
 # as well. The cause of their failures is then outside of the targets, and the healthy
 # ones could not take the calls of all.
 MIN_HEALTHY_SHARE = 0.5
-# A node that has been silent for this long is removed.
+# A node that has been lost for this long is removed.
 FORGET_MS = 60_000.0
+# Records of a removed node that other nodes still hold are ignored for this time.
+TOMBSTONE_MS = 2 * FORGET_MS
+# A node that has been heard of so recently is not lost, whatever others say.
+HEARD_MS = 1000.0
 
 
 @attrs.define
@@ -31,7 +27,12 @@
     record: PeerRecord
     last_heard_ms: float
     version: int = 0
-    is_lost: bool = False
+    # Time since when the node is lost, None if it is not.
+    lost_ms: float | None = None
+
+    @property
+    def is_lost(self):
+        return self.lost_ms is not None
 
 
 class PeerDirectory:
@@ -48,6 +49,22 @@
         self._peers = {}
         # Peers by the service of their target; cleared when a record changes.
         self._by_service = {}
+        self._digest = RecordDigest()
+        self._digest.toggle(own_record)
+        # Order of the last record of each removed node, and when it was removed.
+        self._tombstones = {}
+        self._newest_version = 0
+        self._newest_holder = ""
+
+    @property
+    def digest(self):
+        """Digests of all records, this node's included."""
+        return self._digest
+
+    @property
+    def newest_holder(self):
+        """Name of a node that has the newest known version in force."""
+        return self._newest_holder
 
     @property
     def own(self):
@@ -62,7 +79,9 @@
     def update_own(self, **changes):
         """Change fields of this node's record and increment its sequence number."""
         sequence = self._own.sequence + 1
+        self._digest.toggle(self._own)
         self._own = attrs.evolve(self._own, sequence=sequence, **changes)
+        self._digest.toggle(self._own)
 
     def update_record(self, record, now_ms):
         """Store the record of another node unless it is older than the stored one.
@@ -83,22 +102,32 @@
             return None
         peer = self._peers.get(record.node_id)
         if peer is None:
+            if self._is_outdated(record):
+                return None
             _log_change(None, record)
             self._by_service.clear()
+            self._digest.toggle(record)
             self._peers[record.node_id] = _Peer(record, now_ms)
             return None
-        if record.order < peer.record.order:
+        if record.order <= peer.record.order:
             return None
         previous = peer.record
-        if record.order != previous.order:
-            _log_change(previous, record)
+        _log_change(previous, record)
+        self._digest.toggle(previous)
+        self._digest.toggle(record)
         peer.record = record
+        # A newer record shows that the node has been alive since it was lost.
+        peer.lost_ms = None
         self._by_service.clear()
         if previous.incarnation == record.incarnation:
             return None
         peer.version = 0
         return previous
 
+    def _is_outdated(self, record):
+        order, _ = self._tombstones.get(record.node_id, ((0, 0), 0.0))
+        return record.order <= order
+
     def note_heard(self, node_id, version, now_ms):
         """Record that a message of a node has arrived.
 
@@ -115,9 +144,9 @@
         if peer is None:
             return
         peer.last_heard_ms = now_ms
-        peer.version = max(peer.version, version)
+        self._update_version(peer, version)
         if peer.is_lost:
-            peer.is_lost = False
+            peer.lost_ms = None
             _LOG.info("peer back", peer=node_id)
 
     def note_version(self, host, version):
@@ -130,11 +159,26 @@
         version : int
             Catalogue version in force there.
         """
+        # The own version and those that are known already need no search.
+        if version <= self._newest_version:
+            return
         for peer in self._peers.values():
             if peer.record.peer_address.rpartition(":")[0] == host:
-                peer.version = max(peer.version, version)
+                self._update_version(peer, version)
 
-    def note_lost(self, node_id, why):
+    def note_holder(self, node_id, version):
+        """Record that a node is said to have a catalogue version in force."""
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            self._update_version(peer, version)
+
+    def _update_version(self, peer, version):
+        peer.version = max(peer.version, version)
+        if version > self._newest_version:
+            self._newest_version = version
+            self._newest_holder = peer.record.node_id
+
+    def note_lost(self, node_id, why, now_ms):
         """Mark a node as lost because it does not answer.
 
         Parameters
@@ -143,19 +187,50 @@
             Name of the node.
         why : str
             What was observed, for the log.
+        now_ms : float
+            Current time on the monotonic clock in milliseconds.
         """
         peer = self._peers.get(node_id)
         if peer is not None and not peer.is_lost:
-            peer.is_lost = True
+            peer.lost_ms = now_ms
             _LOG.warning("peer lost", peer=node_id, why=why)
 
+    def note_reported_lost(self, lost, now_ms):
+        """Mark a node as lost because another node has reported that.
+
+        Parameters
+        ----------
+        lost : LostNode
+            The report.
+        now_ms : float
+            Current time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether the report was new, and neither refuted by a newer record nor by a
+            message of the node itself.
+        """
+        peer = self._peers.get(lost.node_id)
+        if peer is None or peer.is_lost or peer.record.order > lost.order:
+            return False
+        if now_ms - peer.last_heard_ms < HEARD_MS:
+            return False
+        self.note_lost(lost.node_id, "reported by another node", now_ms)
+        return True
+
     def forget_old(self, now_ms):
-        """Remove the nodes that have been silent for at least `FORGET_MS`."""
+        """Remove the nodes that have been lost for at least `FORGET_MS`."""
         for node_id, peer in list(self._peers.items()):
-            if now_ms - peer.last_heard_ms >= FORGET_MS:
+            if peer.is_lost and now_ms - peer.lost_ms >= FORGET_MS:
                 _LOG.info("peer forgotten", peer=node_id)
+                self._digest.toggle(peer.record)
+                self._tombstones[node_id] = peer.record.order, now_ms
                 del self._peers[node_id]
                 self._by_service.clear()
+        for node_id, (_, removed_ms) in list(self._tombstones.items()):
+            if now_ms - removed_ms >= TOMBSTONE_MS:
+                del self._tombstones[node_id]
 
     def get(self, node_id):
         """Return the record of another node, None if the node is unknown."""
@@ -166,9 +241,18 @@
         """Return the records of all other nodes."""
         return [peer.record for peer in self._peers.values()]
 
+    def get_live_records(self):
+        """Return the records of all other nodes that are not lost."""
+        return [peer.record for peer in self._peers.values() if not peer.is_lost]
+
+    def is_lost(self, node_id):
+        """Return whether a node is unknown or lost."""
+        peer = self._peers.get(node_id)
+        return peer is None or peer.is_lost
+
     def get_newest_version(self):
         """Return the newest catalogue version that another node has in force."""
-        return max((peer.version for peer in self._peers.values()), default=0)
+        return self._newest_version
 
     def get_holders(self, version):
         """Return the nodes that have a version in force, own data centre first.
@@ -222,7 +306,7 @@
         healthy = []
         failing = []
         suspect = []
-        for record, is_suspect in self._list_records(service, now_ms):
+        for record, is_suspect in self._list_records(service):
             is_near = record.data_centre == own_data_centre
             if is_near_only and not is_near:
                 continue
@@ -253,7 +337,7 @@
             healthy += failing
         return healthy or suspect
 
-    def _list_records(self, service, now_ms):
+    def _list_records(self, service):
         if _takes_calls(self._own, service):
             yield self._own, False
         peers = self._by_service.get(service)
@@ -261,26 +345,8 @@
             all_peers = self._peers.values()
             peers = [peer for peer in all_peers if _takes_calls(peer.record, service)]
             self._by_service[service] = peers
-        quiet_ms = QUIET_PERIODS * compute_period_ms(self.count)
         for peer in peers:
-            yield peer.record, peer.is_lost or now_ms - peer.last_heard_ms >= quiet_ms
-
-
-def compute_period_ms(nodes):
-    """Return the exchange period of a pair of nodes.
-
-    Parameters
-    ----------
-    nodes : int
-        Number of nodes.
-
-    Returns
-    -------
-    float
-        Period in milliseconds. It grows with the number of nodes, so that the rate of
-        exchanges of one node never exceeds `EXCHANGES_PER_S`.
-    """
-    return max(MIN_PERIOD_MS, MS_PER_S * nodes / EXCHANGES_PER_S)
+            yield peer.record, peer.is_lost
 
 
 def _takes_calls(record, service):
--- a/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
@@ -12,6 +12,7 @@
     FOLLOW_WAIT_S,
     RELEASE_PREFIX,
     RULES_PATH_PREFIX,
+    SYNCHRONISE_PATH,
 )
 from gentianlink.sidecar.status import (
     STATUS_BAD_REQUEST,
@@ -48,11 +49,13 @@
     """
 
     def handle(method, path, body):
-        if path == EXCHANGE_PATH:
-            return exchange.answer_exchange(body)
-        # Earlier releases ask without this prefix, for an earlier form of deltas.
+        # Earlier releases ask without this prefix, for an earlier form of answers.
         is_earlier = not path.startswith(RELEASE_PREFIX)
         resource = path.removeprefix(RELEASE_PREFIX)
+        if resource == EXCHANGE_PATH:
+            return exchange.answer_exchange(body, is_earlier)
+        if resource == SYNCHRONISE_PATH:
+            return exchange.answer_synchronise(body)
         if resource.startswith(RULES_PATH_PREFIX):
             version = _parse_version(resource, RULES_PATH_PREFIX)
             return Reply(body=holder.encode_since(version, is_earlier))
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -1,4 +1,9 @@
-"""Exchange of state (gossip) with other nodes, one task for each of them."""
+"""Exchange of state (gossip) with a few other nodes.
+
+A node exchanges state with the nodes that :func:`choose_links` names. It passes on each
+change that is new to it, so a change reaches all nodes within a few hops. Digests show
+what two nodes miss of each other.
+"""
 
 import asyncio
 import random
@@ -10,25 +15,46 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.endpoints_server import Reply
-from gentianlink.sidecar.peer_codec import decode_message, encode_message
-from gentianlink.sidecar.peer_directory import FORGET_MS, compute_period_ms
+from gentianlink.sidecar.overlay import choose_links
+from gentianlink.sidecar.peer_codec import (
+    decode_buckets,
+    decode_message,
+    decode_records,
+    encode_message,
+    encode_records,
+)
+from gentianlink.sidecar.peer_connections import PeerConnections
+from gentianlink.sidecar.peer_directory import FORGET_MS
 from gentianlink.sidecar.peer_link import PeerLink
-from gentianlink.sidecar.peer_message import PeerMessage
+from gentianlink.sidecar.peer_message import LostNode, PeerMessage
+from gentianlink.sidecar.record_digest import get_bucket
 from gentianlink.sidecar.status import STATUS_BAD_REQUEST, STATUS_NOT_FOUND, STATUS_OK
 
 _LOG = get_logger("peers")
 
 EXCHANGE_PATH = "/exchange"
+SYNCHRONISE_PATH = "/synchronise"
 RULES_PATH_PREFIX = "/rules/"
 FOLLOW_PATH_PREFIX = "/follow/"
-# Prefix of these two for deltas with all values; earlier releases do not know it.
+# Prefix of the paths of this release; earlier ones do not know it.
 RELEASE_PREFIX = "/v2"
 FENCE_PATH = "/fence"
 
+# Period of the exchanges over a link without changes.
+PERIOD_MS = 2500.0
+# Nodes that start or change at the same moment do not stay in step.
+PERIOD_JITTER = 0.25
 # Exponential back-off after exchanges without an answer.
 FIRST_BACKOFF_MS = 700.0
 BACKOFF_GROWTH = 1.3
 MAX_BACKOFF_MS = 5000.0
+# Unanswered exchanges after which other nodes are told that a node is lost. A busy node
+# may leave one unanswered.
+FAILURES_TO_REPORT = 2
+# Exchanges without a change after which two nodes with different records compare them.
+LASTING_MISMATCHES = 2
+# Records in one message; the rest follows in the next one.
+MAX_RECORDS = 200
 # Duration of a long poll for a newer version. Its end also shows the follower that the
 # reader is alive.
 FOLLOW_WAIT_S = 1.0
@@ -37,12 +63,16 @@
 MAX_FETCH_ATTEMPTS = 4
 # Jitter before the first exchange, for nodes that start at the same moment.
 FIRST_JITTER_S = 0.1
-# Changes within this time are sent together.
-PUSH_DELAY_MS = 5.0
+# Delay before a change is sent. Changes that follow within the gap after an exchange
+# are sent together, so that many changes at once cost few messages.
+MIN_PUSH_DELAY_MS = 5.0
+MAX_PUSH_DELAY_MS = 15.0
+MIN_GAP_MS = 100.0
+LINKS_DELAY_S = 0.3
 
 
 class PeerExchange:
-    """Exchanges records, loads and versions with all other nodes.
+    """Exchanges records, loads and versions with a few other nodes.
 
     Parameters
     ----------
@@ -57,28 +87,85 @@
     on_previous_record : callable
         Called with the record of this node's previous incarnation, when another node
         returns it.
+    connections : PeerConnections, optional
+        Connections to other nodes.
     """
 
     def __init__(
-        self, directory, load_view, get_own_load, get_version, on_previous_record
+        self,
+        directory,
+        load_view,
+        get_own_load,
+        get_version,
+        on_previous_record,
+        connections=None,
     ):
         self._directory = directory
         self._load_view = load_view
         self._get_own_load = get_own_load
         self._get_version = get_version
         self._on_previous_record = on_previous_record
+        self._connections = connections or PeerConnections()
         self._links = {}
+        self._chosen_addresses = set()
+        self._is_choice_due = False
         self._is_push_due = False
         self._previous_records = {}
+        self._spread_version = 0
+
+    @property
+    def links(self):
+        """Number of nodes with which state is exchanged."""
+        return len(self._links)
 
-    def add_address(self, address):
-        """Start exchanging state with the node at an address.
+    def learn(self, record):
+        """Take the record of another node into account.
 
         Parameters
         ----------
-        address : str
-            IP address and TCP port of the node for the state exchange.
+        record : PeerRecord
+            The record, for example of the node's row.
         """
+        self._update_record(record, None)
+
+    def _update_record(self, record, source):
+        """Store a record and pass it on if it is newer; return whether it is."""
+        own = self._directory.own
+        if record.node_id == own.node_id:
+            return False
+        before = self._directory.get(record.node_id)
+        previous = self._directory.update_record(record, get_monotonic_ms())
+        if previous is not None:
+            self._previous_records[record.node_id] = previous
+        known = self._directory.get(record.node_id)
+        if source is not None and known is not None and record.order >= known.order:
+            source.records.pop(record.node_id, None)
+        if known is before:
+            return False
+        for link in self._links.values():
+            if link is not source and link.node_id != record.node_id:
+                link.records[record.node_id] = record
+                link.lost.pop(record.node_id, None)
+                link.wake.set()
+        if before is None or previous is not None:
+            self._choose_links_soon()
+        return True
+
+    def _choose_links_soon(self):
+        if not self._is_choice_due:
+            self._is_choice_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINKS_DELAY_S, self._choose_links)
+
+    def _choose_links(self):
+        self._is_choice_due = False
+        own = self._directory.own
+        chosen = choose_links(own, self._directory.get_live_records())
+        self._chosen_addresses = {item.peer_address for item in chosen.values()}
+        for record in chosen.values():
+            self._open_link(record.peer_address)
+
+    def _open_link(self, address):
         if address == self._directory.own.peer_address or address in self._links:
             return
         link = PeerLink(address, get_monotonic_ms())
@@ -90,53 +177,171 @@
         await asyncio.sleep(random.uniform(0.0, FIRST_JITTER_S))
         if link.acknowledged_order == self._directory.own.order:
             await self._wait(link)
+        link.is_due = True
         while True:
             link.wake.clear()
-            await self._exchange(link)
-            if get_monotonic_ms() - link.last_heard_ms >= FORGET_MS:
+            # The other node may have begun an exchange that carried all changes.
+            if link.is_due or self._has_changes(link):
+                link.is_due = False
+                await self._exchange(link)
+            if self._is_superfluous(link):
                 del self._links[link.address]
-                link.connections.close()
                 return
             await self._wait(link)
 
+    def _is_superfluous(self, link):
+        """Return whether a link is neither chosen nor waits for a lost node."""
+        if get_monotonic_ms() - link.last_heard_ms >= FORGET_MS:
+            return True
+        return not link.failures and link.address not in self._chosen_addresses
+
     async def _wait(self, link):
         try:
             async with asyncio.timeout(self._compute_wait_ms(link) / 1000):
                 await link.wake.wait()
         except TimeoutError:
+            link.is_due = True
             return
+        if not link.failures:
+            delay_ms = random.uniform(MIN_PUSH_DELAY_MS, MAX_PUSH_DELAY_MS)
+            gap_ms = link.last_heard_ms + MIN_GAP_MS - get_monotonic_ms()
+            await asyncio.sleep(max(delay_ms, gap_ms) / 1000)
 
     def _compute_wait_ms(self, link):
         if link.failures:
             growth = BACKOFF_GROWTH ** (link.failures - 1)
-            return min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * growth)
-        own = self._directory.own
-        if link.acknowledged_order != own.order:
-            return PUSH_DELAY_MS
-        period_ms = compute_period_ms(self._directory.count)
-        # The node with the lower address usually begins the exchange of a pair; the
-        # other one does so only after twice the period.
-        return period_ms if own.peer_address < link.address else 2 * period_ms
+            wait_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * growth)
+        elif self._has_changes(link):
+            return max(
+                MIN_PUSH_DELAY_MS, link.last_heard_ms + MIN_GAP_MS - get_monotonic_ms()
+            )
+        else:
+            # The node with the lower address usually begins the exchange of a pair; the
+            # other one does so only after twice the period.
+            is_first = self._directory.own.peer_address < link.address
+            wait_ms = PERIOD_MS if is_first else 2 * PERIOD_MS
+        return wait_ms * random.uniform(1 - PERIOD_JITTER, 1 + PERIOD_JITTER)
+
+    def _has_changes(self, link):
+        is_own_known = link.acknowledged_order == self._directory.own.order
+        return bool(link.records or link.lost) or not is_own_known
 
     async def _exchange(self, link):
-        message = self._make_message(link.node_id, link.acknowledged_order)
+        message = self._make_message(link.node_id, link)
         try:
-            answer = await link.connections.send(
-                "POST", EXCHANGE_PATH, encode_message(message)
-            )
-            if answer.code != STATUS_OK:
-                raise CodecError(f"status {answer.code}")
-            reply = decode_message(answer.body)
+            reply = decode_message(await self._send(link, message))
         except (PlatformError, CodecError) as error:
-            link.note_failure()
-            if link.node_id:
-                self._directory.note_lost(link.node_id, f"exchange: {error}")
+            self._note_failure(link, message, error)
             return
         self._process_message(reply, link)
+        if reply.digest == self._directory.digest.whole:
+            link.is_synchronised = True
+            link.mismatches = 0
+        elif message.records or reply.records:
+            link.mismatches = 0
+        else:
+            link.mismatches += 1
+        is_lasting = link.mismatches >= LASTING_MISMATCHES
+        if is_lasting or not (link.is_synchronised or link.is_earlier_release):
+            await self._synchronise(link)
+
+    async def _send(self, link, message):
+        connections = self._connections.get(link.address)
+        if not link.is_earlier_release:
+            answer = await connections.send(
+                "POST", RELEASE_PREFIX + EXCHANGE_PATH, encode_message(message)
+            )
+            link.is_earlier_release = answer.code == STATUS_NOT_FOUND
+        if link.is_earlier_release:
+            body = encode_message(message, is_for_earlier_release=True)
+            answer = await connections.send("POST", EXCHANGE_PATH, body)
+        if answer.code != STATUS_OK:
+            raise CodecError(f"status {answer.code}")
+        return answer.body
+
+    def _note_failure(self, link, message, error):
+        link.note_failure()
+        link.records = {item.node_id: item for item in message.records} | link.records
+        link.lost = {item.node_id: item for item in message.lost} | link.lost
+        if message.previous is not None:
+            self._previous_records.setdefault(
+                message.previous.node_id, message.previous
+            )
+        if not link.node_id:
+            return
+        now_ms = get_monotonic_ms()
+        is_new = not self._directory.is_lost(link.node_id)
+        self._directory.note_lost(link.node_id, f"exchange: {error}", now_ms)
+        if link.failures == FAILURES_TO_REPORT:
+            record = self._directory.get(link.node_id)
+            if record is not None:
+                self._pass_on_lost(LostNode(link.node_id, record.order), link)
+        if is_new:
+            self._choose_links_soon()
+
+    async def _synchronise(self, link):
+        """Get the records of the buckets in which this node and another one differ."""
+        link.is_synchronised = True
+        link.mismatches = 0
+        body = orjson.dumps(self._directory.digest.buckets)
+        connections = self._connections.get(link.address)
+        try:
+            answer = await connections.send(
+                "POST", RELEASE_PREFIX + SYNCHRONISE_PATH, body
+            )
+            records = decode_records(answer.body) if answer.code == STATUS_OK else []
+        except (PlatformError, CodecError) as error:
+            _LOG.info("records not compared", peer=link.node_id, why=str(error))
+            return
+        buckets = {get_bucket(record.node_id) for record in records}
+        orders = {record.node_id: record.order for record in records}
+        for record in records:
+            self._update_record(record, link)
+        for record in self._directory.get_records():
+            if get_bucket(record.node_id) not in buckets:
+                continue
+            if orders.get(record.node_id, (0, 0)) < record.order:
+                link.records[record.node_id] = record
+
+    def answer_synchronise(self, body):
+        """Answer with the records of the buckets that differ from another node's.
+
+        Parameters
+        ----------
+        body : bytes
+            Digests of the other node's buckets.
+
+        Returns
+        -------
+        Reply
+            The records; bad request if the body can't be decoded.
+        """
+        try:
+            others = decode_buckets(body)
+        except CodecError as error:
+            _LOG.warning("peer message rejected", why=str(error))
+            return Reply(STATUS_BAD_REQUEST)
+        pairs = zip(others, self._directory.digest.buckets, strict=True)
+        differing = {number for number, (a, b) in enumerate(pairs) if a != b}
+        records = [self._directory.own, *self._directory.get_records()]
+        return Reply(
+            body=encode_records(
+                [item for item in records if get_bucket(item.node_id) in differing]
+            )
+        )
 
-    def _make_message(self, node_id, acknowledged_order, addresses=()):
+    def _make_message(self, node_id, link, acknowledged_order=None):
         own = self._directory.own
         peer_record = self._directory.get(node_id)
+        records, lost = (), ()
+        if link is not None:
+            acknowledged_order = link.acknowledged_order
+            records = tuple(link.records.values())[:MAX_RECORDS]
+            lost = tuple(link.lost.values())
+            for record in records:
+                del link.records[record.node_id]
+            link.lost.clear()
+        missing_version = self._get_missing_version()
         return PeerMessage(
             node_id=own.node_id,
             order=own.order,
@@ -145,29 +350,55 @@
             known_order=(0, 0) if peer_record is None else peer_record.order,
             record=None if acknowledged_order == own.order else own,
             previous=self._previous_records.pop(node_id, None),
-            addresses=addresses,
+            digest=self._directory.digest.whole,
+            records=records,
+            lost=lost,
+            missing_version=missing_version,
+            holder_id=self._directory.newest_holder if missing_version else "",
         )
 
+    def _get_missing_version(self):
+        """Return the version that this node has told others to be missing, or 0."""
+        is_missing = self._spread_version > self._get_version()
+        return self._directory.get_newest_version() if is_missing else 0
+
     def _process_message(self, message, link):
-        """Process a message; return whether its sender is new or has restarted."""
         now_ms = get_monotonic_ms()
-        is_new = self._directory.get(message.node_id) is None
         if message.record is not None:
-            previous = self._directory.update_record(message.record, now_ms)
-            if previous is not None:
-                self._previous_records[message.node_id] = previous
-                is_new = True
-            self.add_address(message.record.peer_address)
+            self._update_record(message.record, link)
             link = link or self._links.get(message.record.peer_address)
         self._directory.note_heard(message.node_id, message.version, now_ms)
         self._load_view.report(message.node_id, message.load, now_ms)
         if link is not None:
             link.note_heard(message.node_id, message.known_order, now_ms)
+        for record in message.records:
+            self._update_record(record, link)
+        for lost in message.lost:
+            self._process_lost(lost, link, now_ms)
         if message.previous is not None:
             self._on_previous_record(message.previous)
-        for address in message.addresses:
-            self.add_address(address)
-        return is_new
+        if message.missing_version > self._get_version():
+            self._directory.note_holder(message.holder_id, message.missing_version)
+            self.spread_missing_version(message.missing_version)
+
+    def _process_lost(self, lost, link, now_ms):
+        own = self._directory.own
+        if lost.node_id == own.node_id:
+            if lost.order >= own.order:
+                # A newer record refutes the report.
+                self._directory.update_own()
+                self.push()
+            return
+        if self._directory.note_reported_lost(lost, now_ms):
+            self._pass_on_lost(lost, link)
+            self._choose_links_soon()
+
+    def _pass_on_lost(self, lost, source):
+        # The node itself is told as well, as soon as it answers, so that it can refute.
+        for link in self._links.values():
+            if link is not source or link.node_id == lost.node_id:
+                link.lost[lost.node_id] = lost
+                link.wake.set()
 
     def probe(self, address):
         """Begin an exchange with a node soon, because a call to it has failed.
@@ -177,43 +408,64 @@
         address : str
             IP address and TCP port of the node for the state exchange.
         """
+        self._open_link(address)
         link = self._links.get(address)
         if link is not None and not link.failures:
-            link.wake.set()
+            link.wake_for_exchange()
 
-    def announce(self, records):
-        """Begin an exchange with some nodes, to tell them the version in force.
+    def announce_version(self):
+        """Tell the linked nodes of other data centres the version in force soon."""
+        own_data_centre = self._directory.own.data_centre
+        for link in self._links.values():
+            record = self._directory.get(link.node_id)
+            if record is not None and record.data_centre != own_data_centre:
+                link.wake_for_exchange()
+
+    def spread_missing_version(self, version):
+        """Tell all linked nodes of a version that this node misses.
 
         Parameters
         ----------
-        records : list of PeerRecord
-            The nodes.
+        version : int
+            The version that another node has in force.
         """
-        for record in records:
-            link = self._links.get(record.peer_address)
-            if link is not None:
-                link.wake.set()
+        if version > self._spread_version:
+            self._spread_version = version
+            for link in self._links.values():
+                link.wake_for_exchange()
 
     def push(self):
-        """Send a change of this node's record to all nodes soon."""
+        """Send a change of this node's record to the linked nodes soon."""
         if self._is_push_due:
             return
         self._is_push_due = True
         loop = asyncio.get_running_loop()
-        loop.call_later(PUSH_DELAY_MS / 1000, self._push_now)
+        loop.call_later(MIN_PUSH_DELAY_MS / 1000, self._push_now)
 
     def _push_now(self):
         self._is_push_due = False
         for link in self._links.values():
             link.wake.set()
 
-    def answer_exchange(self, body):
+    def sweep(self, now_ms):
+        """Close connections to nodes that have not been used for a while.
+
+        Parameters
+        ----------
+        now_ms : float
+            Current time on the monotonic clock in milliseconds.
+        """
+        self._connections.sweep(now_ms)
+
+    def answer_exchange(self, body, is_from_earlier_release=False):
         """Answer an exchange that another node has begun.
 
         Parameters
         ----------
         body : bytes
             Encoded message of the other node.
+        is_from_earlier_release : bool, optional
+            Whether the other node accepts only messages in the earlier form.
 
         Returns
         -------
@@ -225,27 +477,21 @@
         except CodecError as error:
             _LOG.warning("peer message rejected", why=str(error))
             return Reply(STATUS_BAD_REQUEST)
-        is_new = self._process_message(message, self._find_link(message.node_id))
-        addresses = ()
-        if is_new:
-            others = self._list_others(message.node_id)
-            addresses = tuple(item.peer_address for item in others)
-        reply = self._make_message(message.node_id, message.known_order, addresses)
+        self._process_message(message, self._find_link(message.node_id))
         link = self._find_link(message.node_id)
-        if link is not None:
+        if is_from_earlier_release or link is None:
+            reply = self._make_message(message.node_id, None, message.known_order)
+        else:
+            reply = self._make_message(message.node_id, link)
             # If the reply is lost, the other node repeats the exchange and states which
-            # record it has.
+            # record it has; digests show what else was in the reply.
             link.acknowledged_order = self._directory.own.order
-        return Reply(body=encode_message(reply))
+        return Reply(body=encode_message(reply, is_from_earlier_release))
 
     def _find_link(self, node_id):
         record = self._directory.get(node_id)
         return None if record is None else self._links.get(record.peer_address)
 
-    def _list_others(self, node_id):
-        records = self._directory.get_records()
-        return [record for record in records if record.node_id != node_id]
-
     async def fetch_rules(self, version):
         """Fetch the delta to a version newer than this node's from any node.
 
@@ -266,7 +512,9 @@
             try:
                 delta = await self._request(record, f"{RULES_PATH_PREFIX}{version}")
             except PlatformError as error:
-                self._directory.note_lost(record.node_id, f"rules: {error}")
+                now_ms = get_monotonic_ms()
+                self._directory.note_lost(record.node_id, f"rules: {error}", now_ms)
+                self.probe(record.peer_address)
                 continue
             if delta:
                 return delta
@@ -296,14 +544,12 @@
         return await self._request(record, path, FOLLOW_TIMEOUT_MS)
 
     async def _request(self, record, path, timeout_ms=None):
-        link = self._links.get(record.peer_address)
-        if link is None:
-            raise PlatformUnavailable(f"no link to {record.node_id}")
-        answer = await link.connections.send(
+        connections = self._connections.get(record.peer_address)
+        answer = await connections.send(
             "GET", RELEASE_PREFIX + path, timeout_ms=timeout_ms
         )
         if answer.code == STATUS_NOT_FOUND:
-            answer = await link.connections.send("GET", path, timeout_ms=timeout_ms)
+            answer = await connections.send("GET", path, timeout_ms=timeout_ms)
         if answer.code != STATUS_OK:
             raise PlatformUnavailable(f"status {answer.code}")
         return answer.body
@@ -326,12 +572,13 @@
             True if the call has not been sent to the target and never will be; False if
             this is not certain.
         """
-        link = self._find_link(node_id)
-        if link is None:
+        record = self._directory.get(node_id)
+        if record is None:
             return False
         body = orjson.dumps({"id": request_id, "incarnation": incarnation})
+        connections = self._connections.get(record.peer_address)
         try:
-            answer = await link.connections.send("POST", FENCE_PATH, body)
+            answer = await connections.send("POST", FENCE_PATH, body)
         except PlatformError as error:
             _LOG.info("fence unanswered", id=request_id, peer=node_id, why=str(error))
             return False
@@ -341,4 +588,4 @@
         """Cancel all tasks and close all connections."""
         for link in self._links.values():
             link.task.cancel()
-            link.connections.close()
+        self._connections.close()
--- a/packages/sidecar/src/gentianlink/sidecar/peer_link.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_link.py
@@ -1,15 +1,10 @@
-"""Connections and exchange state for one other node."""
+"""State of the exchange with one other node."""
 
 import asyncio
 
-from gentianlink.platform.service_connections import ServiceConnections
-
-# Upper bound for the answer of a busy node over an intact link.
-TIMEOUT_MS = 1000
-
 
 class PeerLink:
-    """Connections to one other node, and the state of the exchange with it.
+    """State of the exchange with one other node.
 
     Parameters
     ----------
@@ -21,21 +16,38 @@
 
     def __init__(self, address, now_ms):
         self.address = address
-        self.connections = ServiceConnections(f"http://{address}", TIMEOUT_MS)
         self.wake = asyncio.Event()
         self.task = None
         self.node_id = None
         self.last_heard_ms = now_ms
         self.failures = 0
         self.acknowledged_order = None
+        # What has changed since the last message to the node, by name of the node that
+        # it is about.
+        self.records = {}
+        self.lost = {}
+        # Whether an exchange is due although nothing has changed.
+        self.is_due = False
+        # Exchanges in a row without a change, by nodes that hold different records.
+        self.mismatches = 0
+        self.is_synchronised = False
+        self.is_earlier_release = False
 
     def note_failure(self):
         """Count an unanswered exchange.
 
-        The node may have restarted, so the next message carries the whole record.
+        The node may have restarted, so the next message carries the whole record, and
+        the records of both nodes are compared again.
         """
         self.failures += 1
         self.acknowledged_order = None
+        self.is_synchronised = False
+        self.is_earlier_release = False
+
+    def wake_for_exchange(self):
+        """Begin an exchange soon, also if nothing has changed."""
+        self.is_due = True
+        self.wake.set()
 
     def note_heard(self, node_id, acknowledged_order, now_ms):
         """Record that a message of the node has arrived.
--- a/packages/sidecar/src/gentianlink/sidecar/peer_message.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_message.py
@@ -1,4 +1,4 @@
-"""Message of the state exchange between two nodes."""
+"""Messages of the state exchange between two nodes."""
 
 import attrs
 
@@ -6,6 +6,23 @@
 from gentianlink.sidecar.target_load import TargetLoad
 
 
+@attrs.frozen
+class LostNode:
+    """Report that a node does not answer.
+
+    Attributes
+    ----------
+    node_id : str
+        Name of the node.
+    order : tuple of int
+        Incarnation and sequence of its latest record at the node that reports it; a
+        newer record refutes the report.
+    """
+
+    node_id: str
+    order: tuple[int, int]
+
+
 @attrs.frozen
 class PeerMessage:
     """Request or reply of a state exchange.
@@ -29,7 +46,17 @@
         The receiver's record from its previous incarnation, returned to a receiver that
         has restarted.
     addresses : tuple of str
-        Addresses of the other nodes, for a receiver that has just started.
+        Addresses of other nodes. Only earlier releases send and need them.
+    digest : int
+        Digest of all records that the sender holds.
+    records : tuple of PeerRecord
+        Records of other nodes that have changed.
+    lost : tuple of LostNode
+        Nodes that have been lost since the last message.
+    missing_version : int
+        Version that the sender has been missing for a while; 0 if there is none.
+    holder_id : str
+        Name of a node that has the missing version.
     """
 
     node_id: str
@@ -40,3 +67,8 @@
     record: PeerRecord | None = None
     previous: PeerRecord | None = None
     addresses: tuple[str, ...] = ()
+    digest: int = 0
+    records: tuple[PeerRecord, ...] = ()
+    lost: tuple[LostNode, ...] = ()
+    missing_version: int = 0
+    holder_id: str = ""
--- a/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/reader_selector.py
@@ -98,25 +98,6 @@
         readers = regular or readers
         return readers[(zlib.crc32(own.node_id.encode()) + self._turn) % len(readers)]
 
-    def list_remote_readers(self):
-        """Return the regular readers of the other data centres.
-
-        Returns
-        -------
-        list of PeerRecord
-            The nodes that read the table if the table service answers them.
-        """
-        by_data_centre = collections.defaultdict(list)
-        for record in self._directory.get_holders(0):
-            if not record.is_stopping:
-                by_data_centre[record.data_centre].append(record)
-        by_data_centre.pop(self._directory.own.data_centre, None)
-        return [
-            record
-            for records in by_data_centre.values()
-            for record in sorted(records, key=_get_rank)[:READERS_PER_DATA_CENTRE]
-        ]
-
     def _is_available(self, record, now_ms):
         return self._suspended.get(record.node_id, 0.0) <= now_ms
 
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -34,6 +34,9 @@
 PEER_FETCH_PERIOD_MS = 500.0
 # Grace period in which the feed should deliver a version that another node has.
 FEED_GRACE_MS = 350
+# Grace period after which other nodes are told of a version that is missing here; the
+# table may leave a whole data centre unanswered.
+SPREAD_GRACE_MS = 150
 # Delay after the failure of a reader; the next one may be about to take over.
 NEXT_READER_DELAY_S = 0.1
 
@@ -129,14 +132,11 @@
         self._is_reading = True
         self._revision, self._era = changes.revision, changes.era
         size = 0
-        is_newer = False
         for row in changes.rows:
             if row.key == CATALOGUE_KEY and not row.is_removed:
                 size += len(row.value)
-                is_newer |= self._holder.install_version(row.value, "table")
-        if is_newer:
-            # The table may not answer the readers of another data centre.
-            self._exchange.announce(self._reader_selector.list_remote_readers())
+                if self._holder.install_version(row.value, "table"):
+                    self._exchange.announce_version()
         if size:
             transfer_s = compute_transfer_s(size, self._link_mbps)
             self._margin.note_transfer(transfer_s * MS_PER_S)
@@ -165,10 +165,15 @@
         data = await self._exchange.follow_rules(reader, self._holder.version)
         self._reader_selector.note_served(reader.node_id)
         if data:
-            self._holder.install_delta(data, "reader")
+            self._install_delta(data, "reader")
         else:
             self._reader_selector.follow_next()
 
+    def _install_delta(self, data, source):
+        # The table may not answer the readers of another data centre.
+        if self._holder.install_delta(data, source):
+            self._exchange.announce_version()
+
     def _note_success(self):
         if self._is_lost:
             _LOG.info(
@@ -211,6 +216,8 @@
             now_ms = get_monotonic_ms()
             newest_version = get_newest_version()
             self._lag.update(newest_version, self._holder.version, now_ms)
+            if self._lag.compute_ms(now_ms) >= SPREAD_GRACE_MS:
+                self._exchange.spread_missing_version(newest_version)
             if self._is_overdue(now_ms):
                 await self._fetch_from_peer(newest_version, now_ms)
 
@@ -227,7 +234,7 @@
         )
         data = await self._exchange.fetch_rules(self._holder.version)
         if data is not None:
-            self._holder.install_delta(data, "peer")
+            self._install_delta(data, "peer")
 
     def _is_overdue(self, now_ms):
         if self._is_lost and now_ms - self._last_peer_fetch_ms >= PEER_FETCH_PERIOD_MS:
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -174,8 +174,7 @@
     def _load_row(self, record):
         own = self._directory.own
         if record.node_id != own.node_id:
-            self._directory.update_record(record, get_monotonic_ms())
-            self._exchange.add_address(record.peer_address)
+            self._exchange.learn(record)
         elif record.incarnation != own.incarnation:
             self._restore_target(record)
 
@@ -240,6 +239,7 @@
         self._pool.sweep(now_ms)
         self._caller_server.sweep(now_ms)
         self._directory.forget_old(now_ms)
+        self._exchange.sweep(now_ms)
         self._local_target.check_failing(now_ms)
 
     async def _stop(self):
@@ -305,6 +305,7 @@
             "gate_waiting": self._local_target.gate.waiting,
             "target_rate_limit": -1.0 if rate_limit is None else rate_limit,
             "peers": self._directory.count - 1,
+            "peer_links": self._exchange.links,
             "store_lost": int(self._feed.is_lost),
         }
         return self._metrics.render(totals, gauges)
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -0,0 +1,260 @@
+"""The exchange of state in fleets of several sizes, in virtual time; no network."""
+
+import asyncio
+
+import attrs
+import orjson
+import pytest
+
+from gentianlink.sidecar.peer_codec import decode_message, encode_message
+from gentianlink.sidecar.peer_directory import FORGET_MS, TOMBSTONE_MS, PeerDirectory
+from gentianlink.sidecar.peer_exchange import (
+    EXCHANGE_PATH,
+    RELEASE_PREFIX,
+    SYNCHRONISE_PATH,
+)
+from gentianlink.sidecar.peer_message import LostNode
+from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.record_digest import BUCKETS
+from gentianlink.testing.membership_model import (
+    measure_change,
+    measure_loss,
+    measure_rest,
+    measure_restart,
+    run_fleet,
+)
+
+SIZES = [11, 48, 100]
+MAX_MESSAGES_AT_REST = 2.0
+MAX_MESSAGES_OF_A_CHANGE = 4.0
+# Every node is back within this time after the start of all.
+RECOVER_S = 15.0
+LOSS_S = 5.0
+MISS_S = 1.0
+OWN = PeerRecord("node-0", 1, 0, "dc-0", "node-0", "node-0")
+OTHER = PeerRecord("node-1", 5, 2, "dc-0", "node-1", "node-1")
+
+
+class TestCost:
+    """Load that must not grow with the fleet."""
+
+    @pytest.mark.parametrize("count", SIZES)
+    def test_messages_at_rest_do_not_grow_with_the_fleet(self, count):
+        assert run_fleet(measure_rest, count, 1) <= MAX_MESSAGES_AT_REST
+
+    @pytest.mark.parametrize("count", SIZES)
+    def test_a_change_costs_each_node_a_few_messages(self, count):
+        elapsed_s, messages = run_fleet(measure_change, count, 1)
+        assert messages <= MAX_MESSAGES_OF_A_CHANGE
+        assert elapsed_s <= MISS_S
+
+    @pytest.mark.parametrize("count", SIZES)
+    def test_restart_of_all_costs_each_node_few_messages(self, count):
+        elapsed_s, messages = run_fleet(measure_restart, count, 1)
+        assert elapsed_s <= RECOVER_S
+        assert messages <= 4 * count.bit_length()
+
+
+class TestKnowledge:
+    """What every node that reaches any other has to know."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("count", SIZES)
+    def test_lost_node_is_known_everywhere(self, count, seed):
+        assert run_fleet(measure_loss, count, seed) <= LOSS_S
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_nodes_find_each_other_again_without_their_rows(self, seed):
+        """All nodes but one are killed and start while the table is away."""
+
+        async def scenario(fleet):
+            names = list(fleet.nodes)
+            for number in range(1, len(names)):
+                fleet.kill(number)
+            await asyncio.sleep(0.5)
+            for number in range(1, len(names)):
+                fleet.restart(number, 2, is_row_read=False)
+            return await fleet.wait_until(
+                lambda node: all(
+                    name == node.directory.own.node_id
+                    or not node.directory.is_lost(name)
+                    for name in names
+                )
+            )
+
+        assert run_fleet(scenario, 30, seed) <= RECOVER_S
+
+    def test_node_that_is_wrongly_reported_lost_is_back_at_once(self):
+        async def scenario(fleet):
+            reporter = fleet.nodes["node-7"].exchange
+            order = fleet.nodes["node-0"].directory.own.order
+            reporter._pass_on_lost(LostNode("node-0", order), None)
+            await asyncio.sleep(1.0)
+            return await fleet.wait_until(
+                lambda node: (
+                    node.directory.own.node_id == "node-0"
+                    or not node.directory.is_lost("node-0")
+                )
+            )
+
+        assert run_fleet(scenario, 48, 1) <= MISS_S
+
+    def test_both_sides_of_a_cut_meet_again(self):
+        async def scenario(fleet):
+            fleet.cut = {frozenset({"dc-0", f"dc-{number}"}) for number in range(1, 5)}
+            await asyncio.sleep(10.0)
+            fleet.nodes["node-0"].directory.update_own(is_stopping=True)
+            fleet.nodes["node-0"].exchange.push()
+            await asyncio.sleep(10.0)
+            fleet.cut = set()
+            return await fleet.wait_until(
+                lambda node: all(
+                    name == node.directory.own.node_id
+                    or (
+                        not node.directory.is_lost(name)
+                        and node.directory.get(name).order == other.directory.own.order
+                    )
+                    for name, other in fleet.nodes.items()
+                )
+            )
+
+        assert run_fleet(scenario, 30, 1) <= RECOVER_S
+
+    def test_version_that_one_node_has_is_known_everywhere(self):
+        # Guards against a version that a whole data centre does not hear of (CONFIG).
+        async def scenario(fleet):
+            fleet.nodes["node-0"].version = 7
+            fleet.nodes["node-0"].exchange.announce_version()
+            node = fleet.nodes["node-5"]
+            node.directory.note_holder("node-0", 7)
+            node.exchange.spread_missing_version(7)
+            return await fleet.wait_until(
+                lambda item: (
+                    item.version == 7 or item.directory.get_newest_version() == 7
+                )
+            )
+
+        assert run_fleet(scenario, 100, 1) <= MISS_S
+
+
+class TestDirectory:
+    def test_removed_node_does_not_come_back_from_others(self):
+        directory = PeerDirectory(OWN)
+        directory.update_record(OTHER, 0.0)
+        directory.note_lost("node-1", "test", 0.0)
+        directory.forget_old(FORGET_MS)
+        directory.update_record(OTHER, FORGET_MS)
+        assert directory.get("node-1") is None
+        newer = attrs.evolve(OTHER, sequence=3)
+        directory.update_record(newer, FORGET_MS)
+        assert directory.get("node-1") == newer
+
+    def test_tombstones_do_not_pile_up(self):
+        directory = PeerDirectory(OWN)
+        directory.update_record(OTHER, 0.0)
+        directory.note_lost("node-1", "test", 0.0)
+        directory.forget_old(FORGET_MS)
+        directory.forget_old(FORGET_MS + TOMBSTONE_MS)
+        directory.update_record(OTHER, 0.0)
+        assert directory.get("node-1") == OTHER
+
+    def test_equal_records_give_equal_digests_in_any_order(self):
+        third = attrs.evolve(OTHER, node_id="node-2")
+        ways = []
+        for records in (
+            [OTHER, third],
+            [third, attrs.evolve(OTHER, sequence=1), OTHER],
+        ):
+            directory = PeerDirectory(OWN)
+            for record in records:
+                directory.update_record(record, 0.0)
+            ways.append(directory.digest.whole)
+        assert ways[0] == ways[1]
+
+    def test_report_about_an_older_record_is_not_believed(self):
+        directory = PeerDirectory(OWN)
+        directory.update_record(OTHER, 0.0)
+        assert not directory.note_reported_lost(LostNode("node-1", (5, 1)), 5000.0)
+        assert directory.note_reported_lost(LostNode("node-1", (5, 2)), 5000.0)
+
+    def test_report_about_a_node_heard_just_now_is_not_believed(self):
+        directory = PeerDirectory(OWN)
+        directory.update_record(OTHER, 0.0)
+        directory.note_heard("node-1", 0, 4500.0)
+        assert not directory.note_reported_lost(LostNode("node-1", (5, 2)), 5000.0)
+
+
+class TestBadMessages:
+    """Messages that are cut, of another fleet, or replayed."""
+
+    @pytest.mark.parametrize("path", [EXCHANGE_PATH, SYNCHRONISE_PATH])
+    @pytest.mark.parametrize(
+        "body", [b"", b"[]", b"{}", b"[1]", b"null", orjson.dumps(["x"] * BUCKETS)]
+    )
+    def test_unreadable_message_is_refused(self, path, body):
+        async def scenario(fleet):
+            node = fleet.nodes["node-0"]
+            before = node.directory.digest.whole
+            reply = node.handle("POST", RELEASE_PREFIX + path, body)
+            return reply.status, node.directory.digest.whole == before
+
+        assert run_fleet(scenario, 3, 1) == (400, True)
+
+    def test_every_cut_of_a_message_is_refused(self):
+        async def scenario(fleet):
+            message = fleet.nodes["node-1"].exchange._make_message("node-0", None)
+            data = encode_message(message)
+            node = fleet.nodes["node-0"]
+            path = RELEASE_PREFIX + EXCHANGE_PATH
+            return {
+                node.handle("POST", path, data[:n]).status for n in range(len(data))
+            }
+
+        assert run_fleet(scenario, 3, 1) == {400}
+
+    def test_replayed_message_changes_nothing(self):
+        async def scenario(fleet):
+            sender, node = fleet.nodes["node-1"], fleet.nodes["node-0"]
+            old = encode_message(sender.exchange._make_message("node-0", None))
+            sender.directory.update_own(is_stopping=True)
+            sender.exchange.push()
+            await asyncio.sleep(1.0)
+            before = node.directory.get("node-1")
+            node.handle("POST", RELEASE_PREFIX + EXCHANGE_PATH, old)
+            return node.directory.get("node-1") == before
+
+        assert run_fleet(scenario, 3, 1)
+
+
+class TestEarlierRelease:
+    """Nodes of this release beside nodes of an earlier one."""
+
+    def test_earlier_form_of_a_message_is_read_and_answered(self):
+        async def scenario(fleet):
+            sender, node = fleet.nodes["node-1"], fleet.nodes["node-0"]
+            message = sender.exchange._make_message("node-0", None)
+            data = encode_message(message, is_for_earlier_release=True)
+            assert len(orjson.loads(data)) == 8
+            reply = node.handle("POST", EXCHANGE_PATH, data)
+            assert len(orjson.loads(reply.body)) == 8
+            return decode_message(reply.body).node_id
+
+        assert run_fleet(scenario, 3, 1) == "node-0"
+
+    def test_node_that_knows_only_the_earlier_path_is_found(self):
+        async def scenario(fleet):
+            handle = fleet.nodes["node-0"].handle
+            paths = []
+
+            def handle_earlier(method, path, body):
+                paths.append(path)
+                if path.startswith(RELEASE_PREFIX):
+                    return handle(method, "/none", body)
+                return handle(method, path, body)
+
+            fleet.nodes["node-0"].handle = handle_earlier
+            fleet.nodes["node-1"].exchange.probe("node-0")
+            await asyncio.sleep(1.0)
+            return EXCHANGE_PATH in paths
+
+        assert run_fleet(scenario, 3, 1)
--- a/packages/testing/src/gentianlink/testing/feed_model.py
+++ b/packages/testing/src/gentianlink/testing/feed_model.py
@@ -166,7 +166,7 @@
             handler = make_peer_handler(None, holder, feed, None, 1)
             self._handlers[own.node_id] = handler
 
-    def announce(self, records):
+    def announce_version(self):
         """Tell nothing to other data centres; there are none in this model."""
 
     async def follow_rules(self, record, version):
