--- a/packages/sidecar/src/gentianlink/sidecar/test_load_patterns.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_load_patterns.py
@@ -1,10 +1,22 @@
 """Admission and routing under load patterns, simulated in virtual time."""
 
+import asyncio
+import random
+
 import pytest
 
 from gentianlink.sidecar.choose import MAX_FULL
+from gentianlink.sidecar.priority_gate import PriorityGate
 from gentianlink.testing.deployment_model import run_deployment_model
-from gentianlink.testing.gate_model import LoadKind, run_gate_model
+from gentianlink.testing.gate_model import (
+    LoadKind,
+    LoadResult,
+    execute,
+    list_arrivals,
+    run_gate_model,
+    simulate_caller,
+)
+from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
 
 SLOTS = 9
 SEEDS = (1, 2, 3)
@@ -96,3 +108,56 @@
     def test_slots_stay_busy(self, seed):
         result = run_gate_model(SLOTS, [self.KIND], 1, seed)["read"]
         assert result.in_time + result.late >= 0.9 * SLOTS / 0.16
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+class TestTargetThatResetsWhenFull:
+    """A cold target gets a burst of uploads; beyond its slots it resets connections.
+
+    A reset upload may have been executed, so that it can't go to another target.
+    """
+
+    SLOTS = 17
+    UPLOAD = LoadKind("upload", 6 * 17 / 0.11, 110, 1, 400, 1500, caller_retries=1)
+    BOOK = LoadKind("book", 2 * 17 / 0.12, 120, 0, 400, 1500, caller_retries=1)
+    COLD_S = 3.0
+
+    def run_burst(self, seed):
+        rng = random.Random(seed)
+        gate = PriorityGate(self.SLOTS)
+        held = {"most": 0}
+        result = LoadResult()
+
+        async def offer(kind, work_ms, first_ms):
+            cold_factor = 2.0 if get_virtual_ms() < self.COLD_S * 1000 else 1.0
+            return await execute(gate, kind, work_ms * cold_factor, first_ms)
+
+        async def watch():
+            while True:
+                held["most"] = max(held["most"], gate.in_flight)
+                await asyncio.sleep(0.001)
+
+        async def run():
+            watching = asyncio.create_task(watch())
+            calls = []
+            for at_s, kind, work_ms in list_arrivals([self.UPLOAD, self.BOOK], 6, rng):
+
+                async def offer_one(first_ms, kind=kind, work_ms=work_ms):
+                    return await offer(kind, work_ms, first_ms)
+
+                calls.append(simulate_caller(kind, at_s, result, offer_one))
+            await asyncio.gather(*calls)
+            watching.cancel()
+
+        run_virtual(run())
+        return held["most"], result
+
+    def test_target_never_holds_more_calls_than_it_has_slots(self, seed):
+        most, result = self.run_burst(seed)
+        assert most == self.SLOTS
+        assert result.in_time + result.late > 0
+
+    def test_calls_that_find_no_room_are_refused_early(self, seed):
+        _, result = self.run_burst(seed)
+        waits = sorted(result.refusal_waits_ms)
+        assert waits[len(waits) // 2] <= self.UPLOAD.target_latency_ms / 8
