Refuse a body that is too long by its length at once

Found by reading the change of the bodies: a call that was refused by its declared length waited a second for its body, which tornado did not read before the answer was written; and at-most-once calls of gentianlink-node, whose bodies have to be whole, would have been streamed once the buffers of the server were in use.

Change: only a caller that asks with Expect holds up the reading, and its body is not waited for; the budget applies only to bodies that may be streamed.

Result: refused within 0.5 s in test_body_above_the_limit_of_the_catalogue_is_refused and test_caller_that_asks_before_it_sends_is_refused_at_once.

--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -56,6 +56,7 @@
         self._received_bytes = 0
         self._buffer_bytes = BUFFER_BYTES
         self._max_bytes = BUFFER_BYTES
+        self._must_buffer = False
         self._budget_bytes = 0
         self._is_finished = False
         self._ended = asyncio.Event()
@@ -89,7 +90,8 @@
         if refusal is not None and (is_large or "Expect" in headers):
             self.refusal = refusal
             self._start()
-        return self._task
+        # Tornado reads the body only after this task has ended.
+        return self._task if "Expect" in headers else None
 
     def set_body_limits(self, is_buffered, max_bytes):
         """Set how much of the body is accepted, and whether it may be streamed.
@@ -102,6 +104,7 @@
             Largest body in bytes.
         """
         self._max_bytes = max_bytes
+        self._must_buffer = is_buffered
         self._buffer_bytes = max_bytes if is_buffered else BUFFER_BYTES
 
     def data_received(self, chunk):
@@ -125,6 +128,8 @@
             return True
         if self._received_bytes > self._buffer_bytes:
             return False
+        if self._must_buffer:
+            return True
         if not self._server.body_budget.try_take(size):
             return False
         self._budget_bytes += size
@@ -164,7 +169,7 @@
         """
         if self._stream is not None:
             self._stream.discard()
-        if self._is_finished:
+        if self._is_finished or "Expect" in self.headers:
             return
         if self.body_bytes - self._received_bytes > MAX_DISCARDED_BYTES:
             return
--- a/packages/sidecar/src/gentianlink/sidecar/test_bodies.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_bodies.py
@@ -25,6 +25,8 @@
 TWO_NODES = ("registry", "inquiry")
 UPLOAD_RULE = make_rule("upload", "/upload/", "inquiry", kind="upload", timeout_s=20)
 RESET_S = 0.2
+# A body that is refused by its length alone is refused at once.
+REFUSE_S = 0.5
 KB = 1 << 10
 MB = 1 << 20
 
@@ -280,7 +282,7 @@
             for node in world.nodes:
                 reader, writer = await connect(node)
                 writer.write(data)
-                answer = await asyncio.wait_for(read_message(reader), 5)
+                answer = await asyncio.wait_for(read_message(reader), REFUSE_S)
                 # A target that was sent a part of the body may have acted on it.
                 is_streamed = is_chunked and limit > WHOLE_BODY_BYTES
                 assert answer.status in ((413, 502) if is_streamed else (413,))
@@ -293,6 +295,21 @@
 
         run(work, TWO_NODES)
 
+    def test_caller_that_asks_before_it_sends_is_refused_at_once(self):
+        async def work(world):
+            data = encode_catalogue(2, [UPLOAD_RULE], max_body_bytes=100 * KB)
+            world.write_operator_row(data)
+            node = world.nodes[0]
+            await world.wait_until(lambda: node.sidecar.version == 2)
+            reader, writer = await connect(node)
+            framing = {"Content-Length": str(200 * KB), "Expect": "100-continue"}
+            writer.write(format_head(1, framing))
+            answer = await asyncio.wait_for(read_message(reader), REFUSE_S)
+            assert answer.status == 413
+            writer.close()
+
+        run(work, ONE_NODE)
+
     def test_bytes_after_the_body_are_not_part_of_the_call(self):
         async def work(world):
             world.nodes[-1].target.set_behaviour(answer_digest)
