Await no version of a process that has ended; find holders by address

Found by reading: the newest version that a node has heard of stayed for its life, so that after a loss of versions in the table it would have asked for one that nobody has, ten times a second; and a version that calls announce was noted only for the first node that has it.

Change: the newest version is found again when a node restarts or is removed; the node of an address is looked up, which costs the same for any number of nodes (a scan of all before).

--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -55,6 +55,7 @@
         self._tombstones = {}
         self._newest_version = 0
         self._newest_holder = ""
+        self._node_by_host = {}
 
     @property
     def digest(self):
@@ -108,6 +109,7 @@
             self._by_service.clear()
             self._digest.toggle(record)
             self._peers[record.node_id] = _Peer(record, now_ms)
+            self._node_by_host[_get_host(record)] = record.node_id
             return None
         if record.order <= peer.record.order:
             return None
@@ -116,12 +118,14 @@
         self._digest.toggle(previous)
         self._digest.toggle(record)
         peer.record = record
+        self._node_by_host[_get_host(record)] = record.node_id
         # A newer record shows that the node has been alive since it was lost.
         peer.lost_ms = None
         self._by_service.clear()
         if previous.incarnation == record.incarnation:
             return None
         peer.version = 0
+        self._find_newest_version()
         return previous
 
     def _is_outdated(self, record):
@@ -159,12 +163,9 @@
         version : int
             Catalogue version in force there.
         """
-        # The own version and those that are known already need no search.
-        if version <= self._newest_version:
-            return
-        for peer in self._peers.values():
-            if peer.record.peer_address.rpartition(":")[0] == host:
-                self._update_version(peer, version)
+        peer = self._peers.get(self._node_by_host.get(host))
+        if peer is not None:
+            self._update_version(peer, version)
 
     def note_holder(self, node_id, version):
         """Record that a node is said to have a catalogue version in force."""
@@ -178,6 +179,13 @@
             self._newest_version = version
             self._newest_holder = peer.record.node_id
 
+    def _find_newest_version(self):
+        """Find the newest version again, as a node no longer has one in force."""
+        self._newest_version, self._newest_holder = max(
+            ((peer.version, name) for name, peer in self._peers.items()),
+            default=(0, ""),
+        )
+
     def note_lost(self, node_id, why, now_ms):
         """Mark a node as lost because it does not answer.
 
@@ -227,7 +235,9 @@
                 self._digest.toggle(peer.record)
                 self._tombstones[node_id] = peer.record.order, now_ms
                 del self._peers[node_id]
+                self._node_by_host.pop(_get_host(peer.record), None)
                 self._by_service.clear()
+                self._find_newest_version()
         for node_id, (_, removed_ms) in list(self._tombstones.items()):
             if now_ms - removed_ms >= TOMBSTONE_MS:
                 del self._tombstones[node_id]
@@ -349,6 +359,10 @@
             yield peer.record, peer.is_lost
 
 
+def _get_host(record):
+    return record.peer_address.rpartition(":")[0]
+
+
 def _takes_calls(record, service):
     target = record.target
     if target is None or target.service != service or record.is_stopping:
--- a/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -154,6 +154,25 @@
         directory.update_record(newer, FORGET_MS)
         assert directory.get("node-1") == newer
 
+    def test_version_of_a_process_that_has_ended_is_not_awaited(self):
+        # Guards against fetches without end after the table has lost a version.
+        directory = PeerDirectory(OWN)
+        directory.update_record(OTHER, 0.0)
+        directory.note_heard("node-1", 9, 0.0)
+        assert directory.get_newest_version() == 9
+        directory.update_record(attrs.evolve(OTHER, incarnation=6), 1.0)
+        assert directory.get_newest_version() == 0
+
+    def test_every_node_that_calls_is_known_as_a_holder_of_its_version(self):
+        directory = PeerDirectory(OWN)
+        for number in (1, 2):
+            address = f"10.0.0.{number}:7"
+            record = attrs.evolve(OTHER, node_id=f"n-{number}", peer_address=address)
+            directory.update_record(record, 0.0)
+        for number in (1, 2):
+            directory.note_version(f"10.0.0.{number}", 9)
+        assert len(directory.get_holders(9)) == 2
+
     def test_tombstones_do_not_pile_up(self):
         directory = PeerDirectory(OWN)
         directory.update_record(OTHER, 0.0)
