--- a/packages/node/src/gentianlink/node/proxy/call_reader.py
+++ b/packages/node/src/gentianlink/node/proxy/call_reader.py
@@ -93,19 +93,21 @@
         # Tornado reads the body only after this task has ended.
         return self._task if "Expect" in headers else None
 
-    def set_body_limits(self, is_buffered, max_bytes):
-        """Set how much of the body is accepted, and whether it may be streamed.
+    def set_body_limits(self, max_bytes, buffer_bytes=BUFFER_BYTES, must_buffer=False):
+        """Set how much of the body is accepted, and how much of it is buffered.
 
         Parameters
         ----------
-        is_buffered : bool
-            Whether the whole body is read before the call is handled.
         max_bytes : int
             Largest body in bytes.
+        buffer_bytes : int, optional
+            Largest body in bytes that is read whole before the call is handled.
+        must_buffer : bool, optional
+            Whether it is buffered even if the server's budget is in use.
         """
         self._max_bytes = max_bytes
-        self._must_buffer = is_buffered
-        self._buffer_bytes = max_bytes if is_buffered else BUFFER_BYTES
+        self._buffer_bytes = buffer_bytes
+        self._must_buffer = must_buffer
 
     def data_received(self, chunk):
         """Buffer or stream a part of the body; wait while the stream is full."""
--- a/packages/node/src/gentianlink/node/proxy/server.py
+++ b/packages/node/src/gentianlink/node/proxy/server.py
@@ -87,7 +87,10 @@
         entry = route.entry
         reader.work_class = entry.work_class
         max_bytes = entry.limits.body_max_bytes
-        reader.set_body_limits(not entry.work_class.is_repeatable, max_bytes)
+        if entry.work_class.is_repeatable:
+            reader.set_body_limits(max_bytes)
+        else:
+            reader.set_body_limits(max_bytes, max_bytes, must_buffer=True)
         if reader.body_bytes > max_bytes:
             return Refusal(Reason.BODY_TOO_LARGE)
         if parse_deadline_ms(reader.headers, entry.limits.deadline_ms) is None:
--- a/packages/sidecar/src/gentianlink/sidecar/call_reader.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_reader.py
@@ -29,17 +29,6 @@
         """Id of the call, empty if it has none."""
         return self.headers.get(wire.REQUEST_ID, "")
 
-    def set_body_limits(self, max_bytes):
-        """Set how much of the body is accepted.
-
-        Parameters
-        ----------
-        max_bytes : int
-            Largest body in bytes.
-        """
-        self._max_bytes = max_bytes
-        self._buffer_bytes = min(max_bytes, WHOLE_BODY_BYTES)
-
     def make_bounded_call(self, deadline_ms):
         """Return the call that was read, with the headers that are forwarded.
 
--- a/packages/sidecar/src/gentianlink/sidecar/caller_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/caller_server.py
@@ -8,7 +8,11 @@
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
 from gentianlink.platform import wire
-from gentianlink.sidecar.call_reader import SidecarCallReader, parse_deadline_ms
+from gentianlink.sidecar.call_reader import (
+    WHOLE_BODY_BYTES,
+    SidecarCallReader,
+    parse_deadline_ms,
+)
 from gentianlink.sidecar.caller_answer import format_retry_after, get_status
 from gentianlink.sidecar.caller_retry_estimator import CallerRetryEstimator
 from gentianlink.sidecar.hop import HOP_HEADER
@@ -61,7 +65,7 @@
         """Set the limits of the body; refuse a call whose body is too large."""
         rules = self._get_rules()
         max_bytes = UNLIMITED_BYTES if rules is None else rules.max_body_bytes
-        reader.set_body_limits(max_bytes)
+        reader.set_body_limits(max_bytes, WHOLE_BODY_BYTES)
         if reader.body_bytes > max_bytes:
             return Refusal(Reason.BODY_TOO_LARGE)
         return None
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -4,7 +4,11 @@
 from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
-from gentianlink.sidecar.call_reader import SidecarCallReader, parse_deadline_ms
+from gentianlink.sidecar.call_reader import (
+    WHOLE_BODY_BYTES,
+    SidecarCallReader,
+    parse_deadline_ms,
+)
 from gentianlink.sidecar.hop import HOP_HEADER, format_result, parse_hop
 from gentianlink.sidecar.status import STALE_STATE_RETRY_MS, STATUS_UNAVAILABLE
 
@@ -39,7 +43,7 @@
 
     def check(self, reader):
         """Accept a body of any size: the other node has checked it."""
-        reader.set_body_limits(UNLIMITED_BYTES)
+        reader.set_body_limits(UNLIMITED_BYTES, WHOLE_BODY_BYTES)
 
     async def serve(self, reader, writer):
         """Execute one call on the target beside this node."""
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -163,9 +163,7 @@
         version : int
             Catalogue version in force there.
         """
-        peer = self._peers.get(self._node_by_host.get(host))
-        if peer is not None:
-            self._update_version(peer, version)
+        self.note_holder(self._node_by_host.get(host), version)
 
     def note_holder(self, node_id, version):
         """Record that a node is said to have a catalogue version in force."""
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -132,10 +132,9 @@
         self._update_record(record, None)
 
     def _update_record(self, record, source):
-        """Store a record and pass it on if it is newer; return whether it is."""
-        own = self._directory.own
-        if record.node_id == own.node_id:
-            return False
+        """Store a record and pass it on if it is newer."""
+        if record.node_id == self._directory.own.node_id:
+            return
         before = self._directory.get(record.node_id)
         was_lost = self._directory.is_lost(record.node_id)
         previous = self._directory.update_record(record, get_monotonic_ms())
@@ -145,14 +144,13 @@
         if source is not None and known is not None and record.order >= known.order:
             source.records.pop(record.node_id, None)
         if known is before:
-            return False
+            return
         for link in self._links.values():
             if link is not source and link.node_id != record.node_id:
                 link.lost.pop(record.node_id, None)
                 link.add_record(record)
         if was_lost or previous is not None:
             self._choose_links_soon()
-        return True
 
     def _choose_links_soon(self):
         if not self._is_choice_due:
--- a/packages/sidecar/src/gentianlink/sidecar/record_digest.py
+++ b/packages/sidecar/src/gentianlink/sidecar/record_digest.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self._buckets = [0] * BUCKETS
+        self._whole = 0
 
     @property
     def buckets(self):
@@ -28,13 +29,14 @@
     @property
     def whole(self):
         """Digest of all records."""
-        return _hash(repr(self._buckets))
+        return self._whole
 
     def toggle(self, record):
         """Add a record, or remove it if it has been added."""
         incarnation, sequence = record.order
-        text = f"{record.node_id} {incarnation} {sequence}"
-        self._buckets[get_bucket(record.node_id)] ^= _hash(text)
+        digest = _hash(f"{record.node_id} {incarnation} {sequence}")
+        self._buckets[get_bucket(record.node_id)] ^= digest
+        self._whole ^= digest
 
 
 def _hash(text):
