Log each crash of a target with a fingerprint of the calls in flight

A crash is now recognised by lost calls that are followed by a refused connection or by another process; a call whose connection alone was reset is none. One probe follows a lost call, so that a crash shows without a further call. No decision depends on it yet.

--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -16,6 +16,7 @@
     "refusals_total": "Attempts that no target answered, by reason and outcome.",
     "retries_total": "Further sendings of calls, by service and whether granted.",
     "gate_refusals_total": "Calls that the own gate refused, by rule and reason.",
+    "target_crashes_total": "Crashes of the own target with calls in flight.",
     "versions_refused_total": "Catalogue versions that could not be read.",
     "version_fetches_total": "Versions asked of a node because the feed was late.",
     "store_calls_total": "Calls to the table service by kind.",
--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -5,6 +5,7 @@
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.log import get_logger
+from gentianlink.sidecar.crash_detector import CrashDetector
 from gentianlink.sidecar.named_rate_limit import NamedRateLimit
 from gentianlink.sidecar.outlier_detector import OutlierDetector
 from gentianlink.sidecar.priority_gate import PriorityGate
@@ -25,15 +26,20 @@
         Address of the target from the settings.
     on_changed : callable
         Called without arguments when a change should be sent to other nodes.
+    on_crashed : callable
+        Called with the target's state and a list of CallSummary, the calls in flight,
+        when the process of the target has crashed.
     """
 
-    def __init__(self, address, on_changed):
+    def __init__(self, address, on_changed, on_crashed):
         self._address = address
         self._on_changed = on_changed
+        self._on_crashed = on_crashed
         self._info = None
         self._gate = PriorityGate(1)
         self._unreachable_until_ms = 0.0
         self._detector = OutlierDetector()
+        self._crash_detector = CrashDetector()
         self._rate_limit = NamedRateLimit()
 
     @property
@@ -51,6 +57,11 @@
         """Gate that limits the calls to the target's slots."""
         return self._gate
 
+    @property
+    def crash_detector(self):
+        """Calls at the present process of the target."""
+        return self._crash_detector
+
     @property
     def rate_limit(self):
         """Calls a second that the target accepts, None if it names no limit."""
@@ -189,9 +200,12 @@
                 started_ms=info.started_ms,
                 before=None if previous is None else previous.target_id,
             )
+            if previous is not None:
+                self._check_crashed(previous, now_ms)
             self._gate.close(Reason.DRAINING)
             self._gate = PriorityGate(info.slots)
             self._detector = OutlierDetector()
+            self._crash_detector = CrashDetector()
             self._rate_limit = NamedRateLimit()
             self._unreachable_until_ms = 0.0
         elif previous.slots != info.slots:
@@ -203,9 +217,19 @@
                 _LOG.info("target state", target=info.target_id, state=info.state.value)
             self._on_changed()
 
+    def _check_crashed(self, info, now_ms):
+        """Report a crash if a process that has ended lost calls while it was ready."""
+        if info.state is not TargetState.READY:
+            return
+        calls = self._crash_detector.take_crash(now_ms)
+        if calls:
+            self._on_crashed(info, calls)
+
     def note_unreachable(self, now_ms):
         """Mark the target as unreachable and back off from connecting to it."""
         self._unreachable_until_ms = now_ms + CONNECT_BACKOFF_MS
+        if self._info is not None:
+            self._check_crashed(self._info, now_ms)
         if self._info is not None and self._info.is_reachable:
             _LOG.warning("target unreachable", target=self._info.target_id)
             self._info = attrs.evolve(self._info, is_reachable=False)
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -19,6 +19,7 @@
     make_control_handler,
     make_ready_handler,
 )
+from gentianlink.sidecar.crash_log import log_crash
 from gentianlink.sidecar.dispatch_log import DispatchLog
 from gentianlink.sidecar.endpoints_server import serve_endpoint
 from gentianlink.sidecar.forward_server import ForwardServer
@@ -93,7 +94,9 @@
         self._load_view = LoadView()
         self._health = EndpointHealth()
         self._holder = RuleHolder()
-        self._local_target = LocalTarget(settings.target.address, self._publish)
+        self._local_target = LocalTarget(
+            settings.target.address, self._publish, self._note_crash
+        )
         self._exchange = PeerExchange(
             self._directory,
             self._load_view,
@@ -171,6 +174,10 @@
         self._exchange.push()
         self._rows.note_change()
 
+    def _note_crash(self, info, calls):
+        self._metrics.count("target_crashes_total", service=info.service)
+        log_crash(info, calls)
+
     def _load_row(self, record):
         own = self._directory.own
         if record.node_id != own.node_id:
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -1,13 +1,20 @@
 """Execute calls on the target beside this node, admitted by its gate."""
 
+import asyncio
 import functools
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
+from gentianlink.node.background import start_task
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.connection_pool import get_max_idle_ms
-from gentianlink.node.proxy.errors import ConnectionLimitReached, TargetUnreachable
+from gentianlink.node.proxy.errors import (
+    CallerGone,
+    ConnectionLimitReached,
+    TargetUnreachable,
+)
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
 from gentianlink.platform.answer_codec import decode_rate_limit, is_leaving
@@ -24,6 +31,10 @@
     Reason.BAD_ANSWER,
     Reason.TARGET_SHED,
 )
+# Reasons after which the process of the target may have ended.
+LOST_REASONS = (Reason.TARGET_LOST, Reason.BAD_ANSWER)
+# Longest idle time in milliseconds of a connection that is opened for a probe.
+NEW_CONNECTION = 0
 # A target may send nothing until the deadline while it works; TCP keep-alive probes
 # detect a dead connection.
 MAX_SILENCE_MS = 30_000
@@ -49,6 +60,7 @@
         self._pool = pool
         self._dispatches = dispatches
         self._metrics = metrics
+        self._is_probing = False
 
     def get_load(self):
         """Return the load of the target beside this node."""
@@ -198,7 +210,35 @@
             return Refusal(Reason.DEADLINE_PASSED)
         self._dispatches.record(request_id, now_ms)
         call.headers[wire.EXPECTED_TARGET] = hop.target_id
-        return await send_call(self._pool, stream, call, buffer, MAX_SILENCE_MS)
+        detector = self._local_target.crash_detector
+        dispatch = detector.begin(call, now_ms)
+        try:
+            refusal = await send_call(self._pool, stream, call, buffer, MAX_SILENCE_MS)
+        except (CallerGone, asyncio.CancelledError):
+            detector.note_abandoned(dispatch, get_monotonic_ms())
+            raise
+        if refusal is None or refusal.outcome is Outcome.NOT_RUN:
+            detector.note_answered(dispatch)
+        elif refusal.reason in LOST_REASONS:
+            detector.note_lost(dispatch, get_monotonic_ms())
+            self._probe_soon()
+        else:
+            detector.note_abandoned(dispatch, get_monotonic_ms())
+        return refusal
+
+    def _probe_soon(self):
+        """Find out whether the target still runs, without waiting for the next call."""
+        if not self._is_probing:
+            self._is_probing = True
+            start_task(self._probe(), "probe of the target")
+
+    async def _probe(self):
+        try:
+            stream, _ = await self._connect(NEW_CONNECTION)
+            if stream is not None:
+                self._pool.release(stream, True, get_monotonic_ms())
+        finally:
+            self._is_probing = False
 
     async def _connect(self, max_idle_ms):
         address, _, port = self._local_target.address.rpartition(":")
--- a/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
@@ -266,7 +266,11 @@
 class TestLocalTarget:
     def make(self):
         self.changes = []
-        return LocalTarget("10.0.0.1:1", lambda: self.changes.append(1))
+        return LocalTarget(
+            "10.0.0.1:1",
+            lambda: self.changes.append(1),
+            lambda info, calls: None,
+        )
 
     def make_heartbeat(self, sequence, started_ms=1000, **changes):
         values = {"service": SERVICE, "address": "10.0.0.1:1", "slots": 4}
--- a/packages/sidecar/src/gentianlink/sidecar/test_outlier_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_outlier_detector.py
@@ -114,7 +114,9 @@
     def test_other_nodes_are_notified_when_a_target_is_ejected_and_readmitted(self):
         notified = []
         target = LocalTarget(
-            "10.0.0.1:80", lambda: notified.append(target.info.is_failing)
+            "10.0.0.1:80",
+            lambda: notified.append(target.info.is_failing),
+            lambda info, calls: None,
         )
         info = TargetInfo("i-1", SERVICE, 3, TargetState.READY, 1, 1)
         target.restore(info, 0.0)
