--- a/packages/testing/src/gentianlink/testing/scripted_target.py
+++ b/packages/testing/src/gentianlink/testing/scripted_target.py
@@ -125,6 +125,12 @@
         for writer in list(self._writers):
             writer.close()
 
+    def crash(self):
+        """End as a killed process does: no new connections, all open ones reset."""
+        self._server.close()
+        for writer in list(self._writers):
+            ScriptedConnection(None, writer).reset()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
