Quarantine requests that crash the targets that execute them

Cause: nothing connected a request with the targets that had ended under it. A call was known by its id only, and what the node beside a target had learned of its failures ended with the target's process.

Change: the node beside a target reports each crash in its record, with fingerprints of the calls in flight; records reach all nodes over the links that exist. Each node finds by the same rule which request explains at least three crashes that no other one explains, and refuses it where it arrives and at the gate, without a time to come back. Requests that a target has recently completed are not reported, and a completion withdraws the suspicion. The second crash makes a suspect: it is not repeated elsewhere and runs apart from other suspects. A row for each quarantined request lasts when all nodes are killed; an operator lifts it by removing the row.

A popular request in flight at the crashes stays served.

Nodes of earlier releases get records without reports; the paths of the exchange name the form of the messages.

--- a/packages/core/src/gentianlink/core/reason.py
+++ b/packages/core/src/gentianlink/core/reason.py
@@ -32,3 +32,4 @@
     TARGET_SHED = "target-shed"
     BAD_ANSWER = "bad-answer"
     CONNECTION_LIMIT = "connection-limit"
+    CRASHES_TARGETS = "crashes-targets"
--- a/packages/sidecar/src/gentianlink/sidecar/call_fingerprint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_fingerprint.py
@@ -7,8 +7,10 @@
 from gentianlink.platform import wire
 
 # Small enough for the reports that nodes exchange; with a million requests the chance
-# that two of them share a fingerprint is below one in ten million.
-FINGERPRINT_BYTES = 8
+# that two of them share their content's digest is below one in ten million.
+CONTENT_BYTES = 8
+CONTENT_DIGITS = 2 * CONTENT_BYTES
+CALLER_BYTES = 2
 # The beginning of a body that every node has at hand, also if the rest is streamed.
 HEAD_BYTES = 64 * 1024
 
@@ -22,7 +24,7 @@
     request_id : str
         Id of the call.
     fingerprint : str
-        Hexadecimal fingerprint of its content.
+        Fingerprint of its content and its caller.
     method : str
         HTTP method.
     host : str
@@ -45,7 +47,7 @@
 
 
 def compute_fingerprint(call):
-    """Return the fingerprint of a call's content.
+    """Return the fingerprint of a call's content and its caller.
 
     Neither the id nor the node where the call arrived counts, and of the body only the
     first 64 KB.
@@ -58,14 +60,26 @@
     Returns
     -------
     str
-        Hexadecimal digits.
+        Hexadecimal digits: first those of the content, then those of the caller.
     """
     host = call.headers.get("Host", "").lower()
     # The delimiter occurs in none of the parts before the body.
     parts = (call.method, host, call.target, "")
-    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=FINGERPRINT_BYTES)
-    digest.update(_get_body_head(call))
-    return digest.hexdigest()
+    content = hashlib.blake2b("\0".join(parts).encode(), digest_size=CONTENT_BYTES)
+    content.update(_get_body_head(call))
+    caller = call.headers.get(wire.CALLING_SERVICE, "").encode()
+    caller_digest = hashlib.blake2b(caller, digest_size=CALLER_BYTES)
+    return content.hexdigest() + caller_digest.hexdigest()
+
+
+def get_content(fingerprint):
+    """Return the part of a fingerprint that stands for the content."""
+    return fingerprint[:CONTENT_DIGITS]
+
+
+def get_caller(fingerprint):
+    """Return the part of a fingerprint that stands for the caller."""
+    return fingerprint[CONTENT_DIGITS:]
 
 
 def summarize_call(call):
--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -37,6 +37,8 @@
     "gate_in_flight": "Calls that the target executes.",
     "gate_waiting": "Calls that wait for a slot.",
     "target_rate_limit": "Calls a second that the target accepts; -1 without limit.",
+    "quarantined_requests": "Requests that are not sent to targets any more.",
+    "suspected_requests": "Requests that may have crashed several targets.",
     "peers": "Other nodes that are known.",
     "peer_links": "Nodes with which this node exchanges state.",
     "store_lost": "1 if the last call to the table service failed.",
--- a/packages/sidecar/src/gentianlink/sidecar/call_progress.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_progress.py
@@ -22,6 +22,10 @@
 REASONS_SHED_BY_TARGET = (Reason.TARGET_SHED,)
 
 
+# Reasons of refusals that each other target would give as well.
+FINAL_REASONS = (Reason.DEADLINE_PASSED, Reason.CRASHES_TARGETS)
+
+
 class CallProgress:
     """Outcomes of the attempts of one call, from which the next target is chosen."""
 
@@ -106,10 +110,17 @@
         if choice.may_wait and is_overloaded:
             self._refused_wait_ms = wait_ms
             self._wait_refusals += 1
-        if refusal.retry_after_ms:
+        if refusal.reason is Reason.CRASHES_TARGETS:
+            self._retry_after_ms.clear()
+        elif refusal.retry_after_ms:
             self._retry_after_ms.append(refusal.retry_after_ms)
         self._refusal = combine_refusals(self._refusal, refusal)
 
+    def note_quarantined(self):
+        """Record that the call must not be sent to any target."""
+        self._refusal = combine_refusals(self._refusal, Refusal(Reason.CRASHES_TARGETS))
+        self._retry_after_ms.clear()
+
     def note_failure(self, choice):
         """Record that a target executed the call and answered with a failure.
 
@@ -137,7 +148,7 @@
         bool
             Whether the refusal and the number of attempts allow another one.
         """
-        if self._attempts >= MAX_ATTEMPTS or refusal.reason is Reason.DEADLINE_PASSED:
+        if self._attempts >= MAX_ATTEMPTS or refusal.reason in FINAL_REASONS:
             return False
         return refusal.outcome is Outcome.NOT_RUN or is_repeatable
 
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -48,6 +48,8 @@
         This node's share of the retry budget.
     exchange : PeerExchange
         Asks nodes to fence calls; exchanges state with a node after a failed connect.
+    guard : CrashGuard
+        Knows the calls that must not be sent to targets.
     get_version : callable
         Returns the catalogue version in force.
     metrics : CallMetrics
@@ -63,6 +65,7 @@
         health,
         retries,
         exchange,
+        guard,
         get_version,
         metrics,
     ):
@@ -73,6 +76,7 @@
         self._health = health
         self._retries = retries
         self._exchange = exchange
+        self._guard = guard
         self._get_version = get_version
         self._metrics = metrics
 
@@ -117,6 +121,9 @@
         # Latest 5xx answer of a target; relayed if no other target does better.
         failed_answer = None
         while True:
+            if self._guard.is_quarantined(call):
+                progress.note_quarantined()
+                break
             now_ms = get_monotonic_ms()
             own_id = self._directory.own.node_id
             self._load_view.report(own_id, self._runner.get_load(), now_ms)
@@ -172,6 +179,9 @@
             or not call.is_replayable
         ):
             return False
+        if self._guard.is_suspect(call):
+            self._log_retry("suspect not repeated", call, rule, progress)
+            return False
         has_run = progress.refusal.reason not in REASONS_SHED_BY_TARGET
         is_granted = self._retries.try_take(
             service, self._directory.count, has_run, is_caller_retry, now_ms
@@ -179,14 +189,18 @@
         self._metrics.count(
             "retries_total", service=service, granted=str(is_granted).lower()
         )
+        event = "retry" if is_granted else "retry over budget"
+        self._log_retry(event, call, rule, progress)
+        return is_granted
+
+    def _log_retry(self, event, call, rule, progress):
         _LOG.info(
-            "retry" if is_granted else "retry over budget",
+            event,
             id=call.headers.get(wire.REQUEST_ID, ""),
             rule=rule.name,
             after=progress.refusal.reason.value,
             sent=progress.sent,
         )
-        return is_granted
 
     def _make_hop(self, choice, rule, elapsed_ms):
         node_id = choice.candidate.node_id
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -17,6 +17,7 @@
 from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.peer_codec import decode_record, encode_record
 from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
+from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
 
 _LOG = get_logger("rows")
 
@@ -24,6 +25,8 @@
 MAX_BACKOFF_MS = 1500
 # Changes within this time are combined into one write.
 WRITE_DELAY_S = 0.02
+# Rows of quarantined requests in one write; the rest follows with the next one.
+MAX_QUARANTINE_ROWS = 50
 # Mean period of the checks whether the table service has returned from an older copy,
 # which may lack this node's row.
 CHECK_PERIOD_S = 20.0
@@ -41,12 +44,15 @@
     on_record : callable
         Called with each record that is read, including the one that an earlier process
         of this node wrote.
+    quarantine_rows : QuarantineRows
+        The rows of quarantined requests, which are in the same table.
     """
 
-    def __init__(self, table, get_own_record, on_record):
+    def __init__(self, table, get_own_record, on_record, quarantine_rows):
         self._table = table
         self._get_own_record = get_own_record
         self._on_record = on_record
+        self._quarantine_rows = quarantine_rows
         self._changed = asyncio.Event()
         self._written_state = None
         self._revision = None
@@ -74,6 +80,11 @@
         if _get_persistent_state(self._get_own_record()) != self._written_state:
             self._changed.set()
 
+    def store_quarantined(self, request):
+        """Write the row of a quarantined request soon."""
+        self._quarantine_rows.put(request)
+        self._changed.set()
+
     async def run(self):
         """Read all rows, then keep this node's row up to date, until cancelled."""
         await self._retry(self._read, "reading node rows failed")
@@ -88,7 +99,10 @@
                 self._changed.clear()
             else:
                 await self._check_era()
-            if _get_persistent_state(self._get_own_record()) != self._written_state:
+            is_changed = (
+                _get_persistent_state(self._get_own_record()) != self._written_state
+            )
+            if is_changed or self._quarantine_rows.due:
                 await self._retry(self._write, "writing this node's row failed")
 
     async def _wait_for_change(self):
@@ -106,6 +120,7 @@
         if self._era != era:
             _LOG.warning("table service restored", era=self._era, before=era)
             self._written_state = None
+            self._quarantine_rows.note_restored()
 
     async def _retry(self, operation, event):
         attempt = 0
@@ -122,10 +137,13 @@
             )
 
     async def _read(self):
-        changes = await self._read_changes()
+        changes, is_complete = await self._read_changes()
+        is_complete = is_complete and changes.era == self._era
         self._revision, self._era = changes.revision, changes.era
+        quarantine_rows = [r for r in changes.rows if r.key.startswith(KEY_PREFIX)]
+        self._quarantine_rows.note_read(quarantine_rows, is_complete)
         for row in changes.rows:
-            if row.is_removed:
+            if row.is_removed or row.key.startswith(KEY_PREFIX):
                 continue
             try:
                 self._on_record(decode_record(row.value))
@@ -134,26 +152,31 @@
         _LOG.info("node rows read", rows=len(changes.rows))
 
     async def _read_changes(self):
-        if self._revision is None:
-            return await self._table.read_all()
-        try:
-            return await self._table.wait_for_changes(
-                self._revision, self._era, 0, MAX_MARGIN_MS
-            )
-        except HistoryUnavailable:
-            return await self._table.read_all()
+        """Return the changed rows, and whether they are all rows."""
+        if self._revision is not None:
+            try:
+                changes = await self._table.wait_for_changes(
+                    self._revision, self._era, 0, MAX_MARGIN_MS
+                )
+            except HistoryUnavailable:
+                pass
+            else:
+                return changes, False
+        return await self._table.read_all(), True
 
     async def _write(self):
         own = self._get_own_record()
-        await self._table.transact([(own.node_id, encode_record(own))])
+        due = self._quarantine_rows.due[:MAX_QUARANTINE_ROWS]
+        await self._table.transact([(own.node_id, encode_record(own)), *due])
+        self._quarantine_rows.note_written(due)
         self._written_state = _get_persistent_state(own)
 
 
 def _get_persistent_state(record):
-    """Return the incarnation and target of a record, without transient fields."""
+    """Return what of a record is stored, without transient fields."""
     target = record.target
     if target is not None:
         target = attrs.evolve(
             target, sequence=0, is_reachable=True, cold_until_ms=0, is_failing=False
         )
-    return record.incarnation, target
+    return record.incarnation, target, record.crashes
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
@@ -0,0 +1,105 @@
+"""Reports on the crashes of the target beside this node."""
+
+import attrs
+
+# Oldest first, more reports are dropped: the record of a node is passed on whole.
+MAX_REPORTS = 8
+# A target executes few calls at a time; of more, those sent last are reported.
+MAX_CALLS = 32
+REPORT_LIFETIME_MS = 3_600_000.0
+# Other nodes need the reports on a quarantined request until all know that it is.
+EXPLAINED_LIFETIME_MS = 60_000.0
+
+
+@attrs.frozen
+class _Entry:
+    report: object
+    made_ms: float
+
+
+class OwnCrashReports:
+    """Latest reports on the crashes of this node's target, as its record names them."""
+
+    def __init__(self):
+        self._entries = []
+
+    @property
+    def reports(self):
+        """The reports, oldest first."""
+        return tuple(entry.report for entry in self._entries)
+
+    def add(self, report, now_ms):
+        """Add a report on a crash, also one that a former process has made.
+
+        Parameters
+        ----------
+        report : CrashReport
+            The report.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether it is new.
+        """
+        if any(item.report.crash_id == report.crash_id for item in self._entries):
+            return False
+        report = attrs.evolve(report, fingerprints=report.fingerprints[-MAX_CALLS:])
+        self._entries = [*self._entries, _Entry(report, now_ms)][-MAX_REPORTS:]
+        return True
+
+    def withdraw(self, is_withdrawn):
+        """Remove calls from the reports.
+
+        Parameters
+        ----------
+        is_withdrawn : callable
+            Takes a fingerprint, returns whether it is removed.
+
+        Returns
+        -------
+        bool
+            Whether a report has changed.
+        """
+        before = self._entries
+        self._entries = [
+            attrs.evolve(entry, report=_withdraw(entry.report, is_withdrawn))
+            for entry in before
+        ]
+        return self._entries != before
+
+    def drop_old(self, is_quarantined, now_ms):
+        """Drop the reports that other nodes no longer need.
+
+        Parameters
+        ----------
+        is_quarantined : callable
+            Takes a fingerprint, returns whether its request is quarantined.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether a report was dropped.
+        """
+        before = len(self._entries)
+        self._entries = [
+            entry
+            for entry in self._entries
+            if now_ms - entry.made_ms < _get_lifetime_ms(entry.report, is_quarantined)
+        ]
+        return len(self._entries) != before
+
+
+def _withdraw(report, is_withdrawn):
+    kept = tuple(item for item in report.fingerprints if not is_withdrawn(item))
+    return attrs.evolve(report, fingerprints=kept)
+
+
+def _get_lifetime_ms(report, is_quarantined):
+    is_explained = any(is_quarantined(item) for item in report.fingerprints)
+    if is_explained or not report.fingerprints:
+        return EXPLAINED_LIFETIME_MS
+    return REPORT_LIFETIME_MS
--- a/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
@@ -11,40 +11,70 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.core.target_state import TargetState
+from gentianlink.sidecar.crash_report import CrashReport
 from gentianlink.sidecar.peer_message import LostNode, PeerMessage
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.record_digest import BUCKETS
 from gentianlink.sidecar.target_info import TargetInfo
 from gentianlink.sidecar.target_load import TargetLoad
 
-# Nodes of earlier releases accept only the values before this position.
+# Forms of messages, newest first: with reports on crashes, without them, and the one
+# before records of other nodes were passed on.
+FORM_CRASHES, FORM_RECORDS, FORM_FIRST = 3, 2, 1
+# Nodes that accept only the first form accept the values before this position.
 FIRST_NEW_VALUE = 8
 
 
-def encode_message(message, is_for_earlier_release=False):
+def encode_message(message, form=FORM_CRASHES):
     """Encode a message of the state exchange.
 
     Parameters
     ----------
     message : PeerMessage
         The message.
-    is_for_earlier_release : bool, optional
-        Whether to leave out what nodes of earlier releases do not accept.
+    form : int, optional
+        Form that the receiver accepts: what is newer is left out.
 
     Returns
     -------
     bytes
         Nested JSON lists.
     """
-    values = attrs.astuple(message)
-    if is_for_earlier_release:
-        values = values[:FIRST_NEW_VALUE]
-    return orjson.dumps(values)
+    if form < FORM_CRASHES:
+        message = attrs.evolve(
+            message,
+            record=_strip(message.record),
+            previous=_strip(message.previous),
+            records=tuple(_strip(record) for record in message.records),
+        )
+    values = attrs.astuple(message, recurse=False)
+    return _dump(values[:FIRST_NEW_VALUE] if form == FORM_FIRST else values)
 
 
-def encode_records(records):
-    """Encode a list of records."""
-    return orjson.dumps([attrs.astuple(record) for record in records])
+def encode_records(records, form=FORM_CRASHES):
+    """Encode a list of records in the form that the receiver accepts."""
+    if form < FORM_CRASHES:
+        records = [_strip(record) for record in records]
+    return _dump(records)
+
+
+def _strip(record):
+    """Return a record, which may be None, without what earlier forms lack."""
+    return None if record is None else attrs.evolve(record, crashes=())
+
+
+def _dump(value):
+    return orjson.dumps(value, default=_list_fields)
+
+
+def _list_fields(value):
+    """Return the fields of a part of a message.
+
+    A record without reports on crashes has the same form for all releases.
+    """
+    fields = attrs.astuple(value, recurse=False)
+    is_without_crashes = isinstance(value, PeerRecord) and not value.crashes
+    return fields[:-1] if is_without_crashes else fields
 
 
 def decode_records(data):
@@ -94,7 +124,7 @@
 
 def encode_record(record):
     """Encode the record of a node as the value of its row."""
-    return orjson.dumps(attrs.astuple(record)).decode()
+    return _dump(record).decode()
 
 
 def decode_record(data):
@@ -174,7 +204,8 @@
 
 def _parse_record(values):
     node_id, incarnation, sequence, data_centre, *rest = values
-    peer_address, forward_address, link_mbps, is_stopping, target = rest
+    peer_address, forward_address, link_mbps, is_stopping, target, *rest = rest
+    [crashes] = rest or ((),)
     return PeerRecord(
         node_id=_check_type(node_id, str),
         incarnation=_check_type(incarnation, int),
@@ -185,6 +216,16 @@
         link_mbps=_check_type(link_mbps, float),
         is_stopping=_check_type(is_stopping, bool),
         target=None if target is None else _parse_target(target),
+        crashes=tuple(_parse_crash(item) for item in crashes),
+    )
+
+
+def _parse_crash(values):
+    target_id, started_ms, fingerprints = values
+    return CrashReport(
+        _check_type(target_id, str),
+        _check_type(started_ms, int),
+        tuple(_check_type(item, str) for item in fingerprints),
     )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -42,10 +42,13 @@
     ----------
     own_record : PeerRecord
         Record of this node.
+    on_record : callable, optional
+        Called with each record of another node that is stored.
     """
 
-    def __init__(self, own_record):
+    def __init__(self, own_record, on_record=lambda record: None):
         self._own = own_record
+        self._on_record = on_record
         self._peers = {}
         # Peers by the service of their target; cleared when a record changes.
         self._by_service = {}
@@ -110,6 +113,7 @@
             self._digest.toggle(record)
             self._peers[record.node_id] = _Peer(record, now_ms)
             self._node_by_host[_get_host(record)] = record.node_id
+            self._on_record(record)
             return None
         if record.order <= peer.record.order:
             return None
@@ -122,6 +126,7 @@
         # A newer record shows that the node has been alive since it was lost.
         peer.lost_ms = None
         self._by_service.clear()
+        self._on_record(record)
         if previous.incarnation == record.incarnation:
             return None
         peer.version = 0
--- a/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_endpoint.py
@@ -5,12 +5,13 @@
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.endpoints_server import Reply
+from gentianlink.sidecar.peer_codec import FORM_FIRST
 from gentianlink.sidecar.peer_exchange import (
     EXCHANGE_PATH,
     FENCE_PATH,
     FOLLOW_PATH_PREFIX,
     FOLLOW_WAIT_S,
-    RELEASE_PREFIX,
+    PREFIXES,
     RULES_PATH_PREFIX,
     SYNCHRONISE_PATH,
 )
@@ -49,13 +50,15 @@
     """
 
     def handle(method, path, body):
-        # Earlier releases ask without this prefix, for an earlier form of answers.
-        is_earlier = not path.startswith(RELEASE_PREFIX)
-        resource = path.removeprefix(RELEASE_PREFIX)
+        form, prefix = next(
+            item for item in PREFIXES.items() if path.startswith(item[1])
+        )
+        is_earlier = form == FORM_FIRST
+        resource = path.removeprefix(prefix)
         if resource == EXCHANGE_PATH:
-            return exchange.answer_exchange(body, is_earlier)
+            return exchange.answer_exchange(body, form)
         if resource == SYNCHRONISE_PATH:
-            return exchange.answer_synchronise(body)
+            return exchange.answer_synchronise(body, form)
         if resource.startswith(RULES_PATH_PREFIX):
             version = _parse_version(resource, RULES_PATH_PREFIX)
             return Reply(body=holder.encode_since(version, is_earlier))
--- a/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_exchange.py
@@ -17,6 +17,9 @@
 from gentianlink.sidecar.endpoints_server import Reply
 from gentianlink.sidecar.overlay import choose_links
 from gentianlink.sidecar.peer_codec import (
+    FORM_CRASHES,
+    FORM_FIRST,
+    FORM_RECORDS,
     decode_buckets,
     decode_message,
     decode_records,
@@ -36,8 +39,10 @@
 SYNCHRONISE_PATH = "/synchronise"
 RULES_PATH_PREFIX = "/rules/"
 FOLLOW_PATH_PREFIX = "/follow/"
-# Prefix of the paths of this release; earlier ones do not know it.
-RELEASE_PREFIX = "/v2"
+# Prefix of the paths by the form of the messages. A node that does not know the paths
+# of a form accepts only earlier ones.
+PREFIXES = {FORM_CRASHES: "/v3", FORM_RECORDS: "/v2", FORM_FIRST: ""}
+RULES_PREFIX = PREFIXES[FORM_RECORDS]
 FENCE_PATH = "/fence"
 
 # Period of the exchanges over a link without changes.
@@ -245,19 +250,18 @@
         else:
             link.mismatches += 1
         is_lasting = link.mismatches >= LASTING_MISMATCHES
-        if is_lasting or not (link.is_synchronised or link.is_earlier_release):
+        if is_lasting or not (link.is_synchronised or link.form == FORM_FIRST):
             await self._synchronise(link)
 
     async def _send(self, link, message):
         connections = self._connections.get(link.address)
-        if not link.is_earlier_release:
-            answer = await connections.send(
-                "POST", RELEASE_PREFIX + EXCHANGE_PATH, encode_message(message)
-            )
-            link.is_earlier_release = answer.code == STATUS_NOT_FOUND
-        if link.is_earlier_release:
-            body = encode_message(message, is_for_earlier_release=True)
-            answer = await connections.send("POST", EXCHANGE_PATH, body)
+        while True:
+            path = PREFIXES[link.form] + EXCHANGE_PATH
+            body = encode_message(message, link.form)
+            answer = await connections.send("POST", path, body)
+            if answer.code != STATUS_NOT_FOUND or link.form == FORM_FIRST:
+                break
+            link.form -= 1
         if answer.code != STATUS_OK:
             raise CodecError(f"status {answer.code}")
         return answer.body
@@ -291,7 +295,7 @@
         connections = self._connections.get(link.address)
         try:
             answer = await connections.send(
-                "POST", RELEASE_PREFIX + SYNCHRONISE_PATH, body
+                "POST", PREFIXES[link.form] + SYNCHRONISE_PATH, body
             )
             records = decode_records(answer.body) if answer.code == STATUS_OK else []
         except (PlatformError, CodecError) as error:
@@ -307,13 +311,15 @@
             if orders.get(record.node_id, (0, 0)) < record.order:
                 link.records[record.node_id] = record
 
-    def answer_synchronise(self, body):
+    def answer_synchronise(self, body, form):
         """Answer with the records of the buckets that differ from another node's.
 
         Parameters
         ----------
         body : bytes
             Digests of the other node's buckets.
+        form : int
+            Form of the records that the other node accepts.
 
         Returns
         -------
@@ -330,7 +336,8 @@
         records = [self._directory.own, *self._directory.get_records()]
         return Reply(
             body=encode_records(
-                [item for item in records if get_bucket(item.node_id) in differing]
+                [item for item in records if get_bucket(item.node_id) in differing],
+                form,
             )
         )
 
@@ -462,15 +469,15 @@
         """
         self._connections.sweep(now_ms)
 
-    def answer_exchange(self, body, is_from_earlier_release=False):
+    def answer_exchange(self, body, form):
         """Answer an exchange that another node has begun.
 
         Parameters
         ----------
         body : bytes
             Encoded message of the other node.
-        is_from_earlier_release : bool, optional
-            Whether the other node accepts only messages in the earlier form.
+        form : int
+            Form of the messages that the other node accepts.
 
         Returns
         -------
@@ -484,14 +491,14 @@
             return Reply(STATUS_BAD_REQUEST)
         self._process_message(message, self._find_link(message.node_id))
         link = self._find_link(message.node_id)
-        if is_from_earlier_release or link is None:
+        if form == FORM_FIRST or link is None:
             reply = self._make_message(message.node_id, None, message.known_order)
         else:
             reply = self._make_message(message.node_id, link)
             # If the reply is lost, the other node repeats the exchange and states which
             # record it has; digests show what else was in the reply.
             link.acknowledged_order = self._directory.own.order
-        return Reply(body=encode_message(reply, is_from_earlier_release))
+        return Reply(body=encode_message(reply, form))
 
     def _find_link(self, node_id):
         record = self._directory.get(node_id)
@@ -551,7 +558,7 @@
     async def _request(self, record, path, timeout_ms=None):
         connections = self._connections.get(record.peer_address)
         answer = await connections.send(
-            "GET", RELEASE_PREFIX + path, timeout_ms=timeout_ms
+            "GET", RULES_PREFIX + path, timeout_ms=timeout_ms
         )
         if answer.code == STATUS_NOT_FOUND:
             answer = await connections.send("GET", path, timeout_ms=timeout_ms)
--- a/packages/sidecar/src/gentianlink/sidecar/peer_link.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_link.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from gentianlink.sidecar.peer_codec import FORM_CRASHES
+
 
 class PeerLink:
     """State of the exchange with one other node.
@@ -35,7 +37,8 @@
         # Exchanges in a row without a change, by nodes that hold different records.
         self.mismatches = 0
         self.is_synchronised = False
-        self.is_earlier_release = False
+        # Newest form of messages that the node may accept.
+        self.form = FORM_CRASHES
 
     def note_failure(self):
         """Count an unanswered exchange.
@@ -46,7 +49,7 @@
         self.failures += 1
         self.acknowledged_order = None
         self.is_synchronised = False
-        self.is_earlier_release = False
+        self.form = FORM_CRASHES
 
     def add_record(self, record):
         """Send a record with the next message, soon unless the node is lost."""
--- a/packages/sidecar/src/gentianlink/sidecar/peer_record.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_record.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from gentianlink.sidecar.crash_report import CrashReport
 from gentianlink.sidecar.target_info import TargetInfo
 
 
@@ -29,6 +30,8 @@
         Whether the process is shutting down and should get no new calls.
     target : TargetInfo or None
         State of the target beside the node; None while nothing is known of it.
+    crashes : tuple of CrashReport
+        Latest crashes of targets beside the node, oldest first.
     """
 
     node_id: str
@@ -40,6 +43,7 @@
     link_mbps: float = 0.0
     is_stopping: bool = False
     target: TargetInfo | None = None
+    crashes: tuple[CrashReport, ...] = ()
 
     @property
     def order(self):
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_rows.py
@@ -0,0 +1,88 @@
+"""Rows of quarantined requests in the table service.
+
+They last when all nodes are killed at once, and when the nodes that reported the
+crashes are gone. An operator lifts a quarantine by removing its row.
+"""
+
+from gentianlink.core.errors import CodecError
+from gentianlink.node.log import get_logger
+from gentianlink.sidecar.quarantine_codec import (
+    KEY_PREFIX,
+    decode_request,
+    encode_request,
+    get_key,
+)
+
+_LOG = get_logger("rows")
+
+
+class QuarantineRows:
+    """Which rows of quarantined requests are stored, and which are to be written.
+
+    Parameters
+    ----------
+    on_stored : callable
+        Called with each QuarantinedRequest that another node, or an earlier process of
+        this one, has stored.
+    on_lifted : callable
+        Called with the content of each request whose row has been removed.
+    """
+
+    def __init__(self, on_stored, on_lifted):
+        self._on_stored = on_stored
+        self._on_lifted = on_lifted
+        # Values by key.
+        self._own = {}
+        self._stored = {}
+
+    @property
+    def due(self):
+        """Keys and values of the rows to write."""
+        return [item for item in self._own.items() if item[0] not in self._stored]
+
+    def put(self, request):
+        """Have the row of a request written."""
+        key = get_key(request)
+        self._own[key] = encode_request(request)
+        self._stored.pop(key, None)
+
+    def note_written(self, rows):
+        """Record that rows have been written."""
+        self._stored.update(rows)
+
+    def note_restored(self):
+        """Record that the table service has returned from a copy that may lack rows."""
+        self._stored.clear()
+
+    def note_read(self, rows, is_complete):
+        """Take rows into account that were read.
+
+        Parameters
+        ----------
+        rows : iterable of RowChange
+            Rows of quarantined requests.
+        is_complete : bool
+            Whether these are all such rows, and none has been removed by a restore.
+        """
+        removed = {row.key for row in rows if row.is_removed}
+        if is_complete:
+            removed |= self._stored.keys() - {row.key for row in rows}
+        for key in sorted(removed):
+            self._own.pop(key, None)
+            if self._stored.pop(key, None) is not None:
+                self._on_lifted(key.removeprefix(KEY_PREFIX))
+        for row in rows:
+            if not row.is_removed:
+                self._load(row)
+
+    def _load(self, row):
+        value = row.value.decode(errors="replace")
+        if self._stored.get(row.key) == value:
+            return
+        try:
+            request = decode_request(value)
+        except CodecError as error:
+            _LOG.warning("quarantine row unreadable", key=row.key, why=str(error))
+            return
+        self._stored[row.key] = value
+        self._on_stored(request)
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -19,7 +19,7 @@
     make_control_handler,
     make_ready_handler,
 )
-from gentianlink.sidecar.crash_log import log_crash
+from gentianlink.sidecar.crash_guard import CrashGuard
 from gentianlink.sidecar.dispatch_log import DispatchLog
 from gentianlink.sidecar.endpoints_server import serve_endpoint
 from gentianlink.sidecar.forward_server import ForwardServer
@@ -31,6 +31,7 @@
 from gentianlink.sidecar.peer_endpoint import make_peer_handler
 from gentianlink.sidecar.peer_exchange import PeerExchange
 from gentianlink.sidecar.peer_record import PeerRecord
+from gentianlink.sidecar.quarantine_rows import QuarantineRows
 from gentianlink.sidecar.reader_selector import ReaderSelector
 from gentianlink.sidecar.retry_share import RetryShare
 from gentianlink.sidecar.rule_feed import RuleFeed
@@ -90,12 +91,15 @@
             forward_address=settings.listen.forwards,
             link_mbps=node.link_mbps,
         )
-        self._directory = PeerDirectory(own)
+        self._guard = CrashGuard(self._publish, self._store_quarantined, self._metrics)
+        self._directory = PeerDirectory(
+            own, lambda record: self._guard.learn_reports(record.crashes)
+        )
         self._load_view = LoadView()
         self._health = EndpointHealth()
         self._holder = RuleHolder()
         self._local_target = LocalTarget(
-            settings.target.address, self._publish, self._note_crash
+            settings.target.address, self._publish, self._guard.note_crash
         )
         self._exchange = PeerExchange(
             self._directory,
@@ -112,7 +116,10 @@
             platform.table_url, platform.timeout_ms, OPERATOR_TABLE
         )
         self._rows = NodeRows(
-            self._nodes_table, lambda: self._directory.own, self._load_row
+            self._nodes_table,
+            lambda: self._directory.own,
+            self._load_row,
+            QuarantineRows(self._guard.load, self._guard.lift),
         )
         self._feed = RuleFeed(
             self._operator_table,
@@ -124,7 +131,11 @@
         self._pool = ConnectionPool(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS)
         self._dispatches = DispatchLog()
         self._runner = TargetRunner(
-            self._local_target, self._pool, self._dispatches, self._metrics
+            self._local_target,
+            self._pool,
+            self._dispatches,
+            self._guard,
+            self._metrics,
         )
         self._retries = RetryShare(settings.bounds, get_monotonic_ms())
         router = CallRouter(
@@ -135,6 +146,7 @@
             self._health,
             self._retries,
             self._exchange,
+            self._guard,
             lambda: self._holder.version,
             self._metrics,
         )
@@ -170,13 +182,13 @@
         self._directory.update_own(
             target=self._local_target.info,
             is_stopping=self._is_stopping,
+            crashes=self._guard.own_reports,
         )
         self._exchange.push()
         self._rows.note_change()
 
-    def _note_crash(self, info, calls):
-        self._metrics.count("target_crashes_total", service=info.service)
-        log_crash(info, calls)
+    def _store_quarantined(self, request):
+        self._rows.store_quarantined(request)
 
     def _load_row(self, record):
         own = self._directory.own
@@ -186,6 +198,7 @@
             self._restore_target(record)
 
     def _restore_target(self, record):
+        self._guard.restore(record.crashes)
         if record.target is not None:
             self._local_target.restore(record.target, get_monotonic_ms())
 
@@ -248,6 +261,7 @@
         self._directory.forget_old(now_ms)
         self._exchange.sweep(now_ms)
         self._local_target.check_failing(now_ms)
+        self._guard.sweep(now_ms)
 
     async def _stop(self):
         _LOG.info("stopping", in_flight=self._in_flight)
@@ -311,6 +325,8 @@
             "gate_in_flight": self._local_target.gate.in_flight,
             "gate_waiting": self._local_target.gate.waiting,
             "target_rate_limit": -1.0 if rate_limit is None else rate_limit,
+            "quarantined_requests": self._guard.quarantined,
+            "suspected_requests": self._guard.suspects,
             "peers": self._directory.count - 1,
             "peer_links": self._exchange.links,
             "store_lost": int(self._feed.is_lost),
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -33,6 +33,8 @@
 )
 # Reasons after which the process of the target may have ended.
 LOST_REASONS = (Reason.TARGET_LOST, Reason.BAD_ANSWER)
+# A suspect ends about as soon as most calls do.
+SUSPECT_RETRY_MS = 200
 # Longest idle time in milliseconds of a connection that is opened for a probe.
 NEW_CONNECTION = 0
 # A target may send nothing until the deadline while it works; TCP keep-alive probes
@@ -51,16 +53,20 @@
         Connections to the target.
     dispatches : DispatchLog
         Calls that were sent to the target.
+    guard : CrashGuard
+        Knows the calls that must not be sent to the target.
     metrics : CallMetrics
         Counts refusals and records the times in the queue and at the target.
     """
 
-    def __init__(self, local_target, pool, dispatches, metrics):
+    def __init__(self, local_target, pool, dispatches, guard, metrics):
         self._local_target = local_target
         self._pool = pool
         self._dispatches = dispatches
+        self._guard = guard
         self._metrics = metrics
         self._is_probing = False
+        self._is_suspect_running = False
 
     def get_load(self):
         """Return the load of the target beside this node."""
@@ -90,7 +96,7 @@
         """
         arrived_ms = get_monotonic_ms()
         gate = self._local_target.gate
-        refusal = self._check(hop)
+        refusal = self._check(call, hop)
         if refusal is None:
             refusal = await gate.enter(hop, call.deadline_ms, arrived_ms)
         if refusal is not None:
@@ -101,17 +107,22 @@
             "gate_wait_seconds", started_ms - arrived_ms, rule=hop.rule_name
         )
         is_attempted = False
+        is_suspect = False
         try:
             # The target may have left, or the caller given up, during the wait.
-            refusal = self._check(hop)
+            refusal = self._check(call, hop)
             if refusal is not None:
                 self._note_refusal(call, hop, gate, refusal)
                 return None, refusal
+            is_suspect = self._guard.is_suspect(call)
+            self._is_suspect_running |= is_suspect
             is_attempted = True
             answer = await self._exchange(call, hop, writer, edit_headers)
             self._note_outcome(hop, started_ms, *answer)
             return answer
         finally:
+            if is_suspect:
+                self._is_suspect_running = False
             now_ms = get_monotonic_ms()
             gate.leave(hop, now_ms - started_ms if is_attempted else 0.0, now_ms)
             if is_attempted:
@@ -160,7 +171,7 @@
             worked_ms=round(worked_ms, 1),
         )
 
-    def _check(self, hop):
+    def _check(self, call, hop):
         info = self._local_target.info
         if info is None or info.target_id != hop.target_id:
             return Refusal(Reason.WRONG_NODE, retry_after_ms=STALE_STATE_RETRY_MS)
@@ -170,6 +181,11 @@
             return Refusal(
                 Reason.TARGET_UNREACHABLE, retry_after_ms=STALE_STATE_RETRY_MS
             )
+        if self._guard.is_quarantined(call):
+            return Refusal(Reason.CRASHES_TARGETS)
+        # Two suspects at the same target could not be told apart after a crash.
+        if self._is_suspect_running and self._guard.is_suspect(call):
+            return Refusal(Reason.OVERLOADED, retry_after_ms=SUSPECT_RETRY_MS)
         return None
 
     async def _exchange(self, call, hop, writer, edit_headers):
@@ -217,6 +233,8 @@
         except (CallerGone, asyncio.CancelledError):
             detector.note_abandoned(dispatch, get_monotonic_ms())
             raise
+        if refusal is None:
+            self._guard.note_completed(call)
         if refusal is None or refusal.outcome is Outcome.NOT_RUN:
             detector.note_answered(dispatch)
         elif refusal.reason in LOST_REASONS:
--- a/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
@@ -1,16 +1,24 @@
 import asyncio
 
+import pytest
+
+from gentianlink.platform import wire
+from gentianlink.sidecar import node_rows
+from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
 from gentianlink.testing.scripted_target import make_answer
 from gentianlink.testing.sidecar_world import STARTED_MS, SidecarWorld
 
 CRASHING_PATH = "/read/crashes?page=1"
+POPULAR_PATH = "/read/popular"
 RESTART_S = 0.2
+RUN_S = 0.02
 # The platform allows this number of further sendings of a request that has crashed
 # three targets, and this time until the nodes must know.
 MAX_CRASHES = 3
 MAX_FURTHER = 3
 KNOWN_AFTER_S = 3.0
 FURTHER_CALLS = 12
+STREAMED_BYTES = 700 * 1024
 
 
 class Crashes:
@@ -26,11 +34,11 @@
 
     def _make_behaviour(self, node):
         async def behave(request, connection):
-            if CRASHING_PATH not in request.first_line:
-                await asyncio.sleep(0.05)
+            if CRASHING_PATH not in request.first_line or request.body == b"harmless":
+                await asyncio.sleep(RUN_S)
                 return make_answer(request)
             self.count += 1
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(RUN_S)
             node.target.crash()
             self._restarts.add(asyncio.create_task(self._restart(node)))
             return None
@@ -47,29 +55,38 @@
         await asyncio.gather(*self._restarts)
 
 
-async def send_again(world, number):
+async def send_again(world, number, **request):
     """Send the crashing request under another id at the next node."""
     node = world.nodes[number % len(world.nodes)]
-    return await node.call(CRASHING_PATH, f"crash-{number}")
+    return await node.call(CRASHING_PATH, f"crash-{number}", **request)
 
 
-async def crash_targets(world, crashes):
+async def crash_targets(world, crashes, **request):
     number = 0
     while crashes.count < MAX_CRASHES:
-        await send_again(world, number)
+        await send_again(world, number, **request)
         await crashes.wait_for_restarts()
         number += 1
 
 
-async def count_further(world, crashes):
+async def count_further(world, crashes, **request):
     """Send the request many more times and return how often a target received it."""
     before = crashes.count
     for number in range(FURTHER_CALLS):
-        await send_again(world, 100 + number)
+        await send_again(world, 100 + number, **request)
         await crashes.wait_for_restarts()
     return crashes.count - before
 
 
+def get_quarantined(world):
+    return [node.sidecar._guard.quarantined for node in world.nodes]
+
+
+def get_quarantine_keys(world):
+    rows = world.tables.read_range(wire.NODES_TABLE, "", "", 500)
+    return [key for key, _, _ in rows if key.startswith(KEY_PREFIX)]
+
+
 def run(work):
     async def run_world():
         async with SidecarWorld(["inquiry"] * 4, ["a", "a", "b", "b"]) as world:
@@ -82,10 +99,102 @@
 
 class TestCrashingRequest:
     # Guards against sending on and on a request that crashes each target that runs it.
-    def test_request_that_crashed_three_targets_is_hardly_sent_again(self):
+    @pytest.mark.parametrize(
+        "request_parts",
+        [
+            {},
+            {"method": "POST", "body": b"x" * 300},
+            {"method": "POST", "body": b"x" * STREAMED_BYTES},
+        ],
+        ids=["read", "body", "streamed-body"],
+    )
+    def test_request_that_crashed_three_targets_is_hardly_sent_again(
+        self, request_parts
+    ):
         async def work(world, crashes):
-            await crash_targets(world, crashes)
+            await crash_targets(world, crashes, **request_parts)
             await asyncio.sleep(KNOWN_AFTER_S)
-            assert await count_further(world, crashes) <= MAX_FURTHER
+            assert await count_further(world, crashes, **request_parts) <= MAX_FURTHER
+
+        run(work)
+
+    def test_refusal_is_a_promise_without_a_time_to_come_back(self):
+        async def work(world, crashes):
+            await crash_targets(world, crashes)
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            answer = await send_again(world, 100)
+            assert answer.status == 503
+            assert answer.body == b"crashes-targets"
+            assert "retry-after" not in answer.headers
+
+        run(work)
+
+    def test_same_path_with_another_body_is_served(self):
+        async def work(world, crashes):
+            await crash_targets(world, crashes, method="POST", body=b"bad")
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            for number in range(100, 108):
+                answer = await send_again(
+                    world, number, method="POST", body=b"harmless"
+                )
+                assert answer.status == 200
+
+        run(work)
+
+
+class TestCallsInFlightAtACrash:
+    # Guards against refusing a popular request because it was in flight at each crash.
+    def test_request_that_many_callers_make_stays_served(self):
+        async def work(world, crashes):
+            refused = []
+
+            async def call_popular(number):
+                while len(refused) < 1000:
+                    node = world.nodes[number % len(world.nodes)]
+                    answer = await node.call(POPULAR_PATH, f"popular-{number}")
+                    refused.append(answer.body == b"crashes-targets")
+                    number += 100
+
+            callers = [asyncio.create_task(call_popular(item)) for item in range(8)]
+            await asyncio.sleep(0.2)
+            await crash_targets(world, crashes)
+            await count_further(world, crashes)
+            for caller in callers:
+                caller.cancel()
+            assert get_quarantined(world) == [1] * len(world.nodes)
+            assert refused and not any(refused)
+            answer = await world.nodes[0].call(POPULAR_PATH, "last")
+            assert answer.status == 200
+
+        run(work)
+
+
+class TestQuarantineLasts:
+    async def quarantine(self, world, crashes):
+        await crash_targets(world, crashes)
+        await world.wait_until(lambda: all(get_quarantined(world)))
+        await world.wait_until(lambda: get_quarantine_keys(world))
+
+    def test_nodes_that_were_all_killed_at_once_know_the_request(self):
+        async def work(world, crashes):
+            await self.quarantine(world, crashes)
+            for node in world.nodes:
+                await node.kill()
+            for node in world.nodes:
+                node.start()
+            await world.wait_until(lambda: all(n.sidecar.is_ready for n in world.nodes))
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            assert await count_further(world, crashes) == 0
+
+        run(work)
+
+    def test_operator_lifts_a_quarantine_by_removing_its_row(self, monkeypatch):
+        async def work(world, crashes):
+            await self.quarantine(world, crashes)
+            [key] = get_quarantine_keys(world)
+            world.tables.transact([], [], [(wire.NODES_TABLE, key)])
+            await world.wait_until(lambda: not any(get_quarantined(world)))
+            assert await count_further(world, crashes) > 0
 
+        monkeypatch.setattr(node_rows, "CHECK_PERIOD_S", 0.3)
         run(work)
--- a/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -6,11 +6,20 @@
 import orjson
 import pytest
 
-from gentianlink.sidecar.peer_codec import decode_message, encode_message
+from gentianlink.sidecar.crash_report import CrashReport
+from gentianlink.sidecar.peer_codec import (
+    FORM_CRASHES,
+    FORM_FIRST,
+    FORM_RECORDS,
+    decode_message,
+    decode_records,
+    encode_message,
+    encode_records,
+)
 from gentianlink.sidecar.peer_directory import FORGET_MS, TOMBSTONE_MS, PeerDirectory
 from gentianlink.sidecar.peer_exchange import (
     EXCHANGE_PATH,
-    RELEASE_PREFIX,
+    PREFIXES,
     SYNCHRONISE_PATH,
 )
 from gentianlink.sidecar.peer_message import LostNode
@@ -246,7 +255,7 @@
         async def scenario(fleet):
             node = fleet.nodes["node-0"]
             before = node.directory.digest.whole
-            reply = node.handle("POST", RELEASE_PREFIX + path, body)
+            reply = node.handle("POST", PREFIXES[FORM_CRASHES] + path, body)
             return reply.status, node.directory.digest.whole == before
 
         assert run_fleet(scenario, 3, 1) == (400, True)
@@ -256,7 +265,7 @@
             message = fleet.nodes["node-1"].exchange._make_message("node-0", None)
             data = encode_message(message)
             node = fleet.nodes["node-0"]
-            path = RELEASE_PREFIX + EXCHANGE_PATH
+            path = PREFIXES[FORM_CRASHES] + EXCHANGE_PATH
             return {
                 node.handle("POST", path, data[:n]).status for n in range(len(data))
             }
@@ -271,7 +280,7 @@
             sender.exchange.push()
             await asyncio.sleep(1.0)
             before = node.directory.get("node-1")
-            node.handle("POST", RELEASE_PREFIX + EXCHANGE_PATH, old)
+            node.handle("POST", PREFIXES[FORM_CRASHES] + EXCHANGE_PATH, old)
             return node.directory.get("node-1") == before
 
         assert run_fleet(scenario, 3, 1)
@@ -284,22 +293,29 @@
         async def scenario(fleet):
             sender, node = fleet.nodes["node-1"], fleet.nodes["node-0"]
             message = sender.exchange._make_message("node-0", None)
-            data = encode_message(message, is_for_earlier_release=True)
+            data = encode_message(message, FORM_FIRST)
             assert len(orjson.loads(data)) == 8
-            reply = node.handle("POST", EXCHANGE_PATH, data)
+            reply = node.handle("POST", PREFIXES[FORM_FIRST] + EXCHANGE_PATH, data)
             assert len(orjson.loads(reply.body)) == 8
             return decode_message(reply.body).node_id
 
         assert run_fleet(scenario, 3, 1) == "node-0"
 
-    def test_node_that_knows_only_the_earlier_path_is_found(self):
+    @pytest.mark.parametrize(
+        "unknown",
+        [
+            (PREFIXES[FORM_CRASHES],),
+            (PREFIXES[FORM_CRASHES], PREFIXES[FORM_RECORDS]),
+        ],
+    )
+    def test_node_that_knows_only_the_earlier_path_is_found(self, unknown):
         async def scenario(fleet):
             handle = fleet.nodes["node-0"].handle
             paths = []
 
             def handle_earlier(method, path, body):
                 paths.append(path)
-                if path.startswith(RELEASE_PREFIX):
+                if path.startswith(unknown):
                     return handle(method, "/none", body)
                 return handle(method, path, body)
 
@@ -307,6 +323,14 @@
             record = fleet.nodes["node-0"].directory.own
             fleet.nodes["node-1"].exchange.probe(record)
             await asyncio.sleep(1.0)
-            return EXCHANGE_PATH in paths
+            return paths[-1].startswith(unknown), paths[-1].endswith(EXCHANGE_PATH)
 
-        assert run_fleet(scenario, 3, 1)
+        assert run_fleet(scenario, 3, 1) == (False, True)
+
+    def test_reports_on_crashes_are_left_out_for_earlier_releases(self):
+        record = attrs.evolve(OTHER, crashes=(CrashReport("i-1", 7, ("ab",)),))
+        assert decode_records(encode_records([record])) == [record]
+        assert decode_records(encode_records([record], FORM_RECORDS)) == [OTHER]
+
+    def test_record_without_crashes_has_the_form_of_earlier_releases(self):
+        assert encode_records([OTHER]) == encode_records([OTHER], FORM_RECORDS)
--- a/packages/testing/src/gentianlink/testing/feed_model.py
+++ b/packages/testing/src/gentianlink/testing/feed_model.py
@@ -28,7 +28,7 @@
 from gentianlink.sidecar.peer_exchange import (
     FOLLOW_PATH_PREFIX,
     FOLLOW_TIMEOUT_MS,
-    RELEASE_PREFIX,
+    RULES_PREFIX,
 )
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
@@ -178,7 +178,7 @@
             raise PlatformOutcomeUnknown("timed out")
         handler = self._handlers[record.node_id]
         reply = await handler(
-            "GET", f"{RELEASE_PREFIX}{FOLLOW_PATH_PREFIX}{version}", b""
+            "GET", f"{RULES_PREFIX}{FOLLOW_PATH_PREFIX}{version}", b""
         )
         if reply.status != STATUS_OK:
             raise PlatformUnavailable(f"status {reply.status}")
