--- a/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
@@ -36,7 +36,8 @@
     """
 
     def __init__(self):
-        self._running = set()
+        # In the order in which they were sent.
+        self._running = {}
         # Calls that have lost their connection since the last sign of life.
         self._lost = []
         self._lost_ms = float("-inf")
@@ -59,19 +60,19 @@
             To be passed to the method that records the end of the call.
         """
         dispatch = Dispatch(call, now_ms)
-        self._running.add(dispatch)
+        self._running[dispatch] = None
         return dispatch
 
     def note_answered(self, dispatch):
         """Record that the target answered a call, also if it did not execute it."""
-        self._running.discard(dispatch)
+        self._running.pop(dispatch, None)
         if dispatch.sent_ms > self._lost_ms:
             self._lost.clear()
 
     def note_lost(self, dispatch, now_ms):
         """Record that the connection of a call ended without an answer."""
         if dispatch in self._running:
-            self._running.discard(dispatch)
+            del self._running[dispatch]
             self._lost.append(summarize_call(dispatch.call))
             self._lost_ms = now_ms
             del self._lost[:-MAX_ENDED]
@@ -79,7 +80,7 @@
     def note_abandoned(self, dispatch, now_ms):
         """Record that nobody waits for the answer to a call any more."""
         if dispatch in self._running:
-            self._running.discard(dispatch)
+            del self._running[dispatch]
             self._drop_old(now_ms)
             self._abandoned.append((now_ms, summarize_call(dispatch.call)))
             del self._abandoned[:-MAX_ENDED]
@@ -113,7 +114,9 @@
             for item in self._running
             if item.sent_ms <= self._lost_ms
         ]
-        self._running = {item for item in self._running if item.sent_ms > self._lost_ms}
+        self._running = {
+            item: None for item in self._running if item.sent_ms > self._lost_ms
+        }
         self._lost.clear()
         self._abandoned.clear()
         return calls
--- a/packages/testing/src/gentianlink/testing/membership_model.py
+++ b/packages/testing/src/gentianlink/testing/membership_model.py
@@ -51,7 +51,11 @@
         name = f"node-{number}"
         data_centre = f"dc-{number % fleet.data_centres}"
         record = PeerRecord(name, incarnation, 0, data_centre, name, name)
-        self.directory = PeerDirectory(record)
+        # Called with the reports on crashes of each record that the node stores.
+        self.on_reports = lambda reports: None
+        self.directory = PeerDirectory(
+            record, lambda record: self.on_reports(record.crashes)
+        )
         self.version = 0
         self.exchange = PeerExchange(
             self.directory,
