Take the readable records of a message when one is unreadable

What would be seen: two nodes refuse each other's exchanges for ever and count as lost, calls go elsewhere. Cause: the same class as a crashing request, one item that stops whatever handles it and is sent again each time. A message was refused whole for one bad record, and the sender puts the records of a refused message back.

The test failed before. The bad record is skipped with a log line; the digests of both nodes then differ, so that it is asked for again only when they compare their records.

--- a/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_codec.py
@@ -11,6 +11,7 @@
 
 from gentianlink.core.errors import CodecError
 from gentianlink.core.target_state import TargetState
+from gentianlink.node.log import get_logger
 from gentianlink.sidecar.crash_report import CrashReport
 from gentianlink.sidecar.peer_message import LostNode, PeerMessage
 from gentianlink.sidecar.peer_record import PeerRecord
@@ -18,6 +19,8 @@
 from gentianlink.sidecar.target_info import TargetInfo
 from gentianlink.sidecar.target_load import TargetLoad
 
+_LOG = get_logger("peers")
+
 # Forms of messages, newest first: with reports on crashes, without them, and the one
 # before records of other nodes were passed on.
 FORM_CRASHES, FORM_RECORDS, FORM_FIRST = 3, 2, 1
@@ -95,7 +98,7 @@
     CodecError
         If the data is not a list of encoded records.
     """
-    return _decode(data, lambda values: [_parse_record(item) for item in values])
+    return _decode(data, lambda values: list(_parse_records(values)))
 
 
 def decode_buckets(data):
@@ -190,13 +193,24 @@
         previous=None if previous is None else _parse_record(previous),
         addresses=tuple(_check_type(address, str) for address in addresses),
         digest=_check_type(digest, int),
-        records=tuple(_parse_record(item) for item in records),
+        records=_parse_records(records),
         lost=tuple(_parse_lost(item) for item in lost),
         missing_version=_check_type(missing_version, int),
         holder_id=_check_type(holder_id, str),
     )
 
 
+def _parse_records(values):
+    """Return the records that can be read; one bad record must not stop the others."""
+    records = []
+    for item in values:
+        try:
+            records.append(_parse_record(item))
+        except (ValueError, TypeError) as error:
+            _LOG.warning("record of a node unreadable", why=str(error))
+    return tuple(records)
+
+
 def _parse_lost(values):
     node_id, order = values
     return LostNode(_check_type(node_id, str), _parse_order(order))
--- a/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -22,9 +22,10 @@
     PREFIXES,
     SYNCHRONISE_PATH,
 )
-from gentianlink.sidecar.peer_message import LostNode
+from gentianlink.sidecar.peer_message import LostNode, PeerMessage
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.record_digest import BUCKETS
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.membership_model import (
     measure_change,
     measure_loss,
@@ -334,3 +335,15 @@
 
     def test_record_without_crashes_has_the_form_of_earlier_releases(self):
         assert encode_records([OTHER]) == encode_records([OTHER], FORM_RECORDS)
+
+
+class TestUnreadableRecord:
+    # Guards against one bad record that makes each message with it be refused, so that
+    # two nodes consider each other lost.
+    def test_other_records_of_a_message_are_taken(self):
+        bad = attrs.evolve(OTHER, node_id="node-9", target="not a target")
+        message = PeerMessage(
+            "node-1", (1, 1), 1, TargetLoad(), (0, 0), records=(bad, OTHER)
+        )
+        assert decode_message(encode_message(message)).records == (OTHER,)
+        assert decode_records(encode_records([bad, OTHER])) == [OTHER]
