Keep the report on a quarantined request for an hour, without the other calls

A node that starts while the platform is away learns of quarantined requests from the records of its peers. The reports were dropped a minute after the quarantine. The test of a restart without the platform is new; it passed before as well, within that minute.

--- a/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
+++ b/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
@@ -7,8 +7,9 @@
 # A target executes few calls at a time; of more, those sent last are reported.
 MAX_CALLS = 32
 REPORT_LIFETIME_MS = 3_600_000.0
-# Other nodes need the reports on a quarantined request until all know that it is.
-EXPLAINED_LIFETIME_MS = 60_000.0
+# After this time all nodes know that a request is quarantined, and which others were in
+# flight matters no more.
+EXPLAINED_MS = 60_000.0
 
 
 @attrs.frozen
@@ -70,7 +71,7 @@
         return self._entries != before
 
     def drop_old(self, is_quarantined, now_ms):
-        """Drop the reports that other nodes no longer need.
+        """Drop the reports, and the calls in them, that are no evidence any more.
 
         Parameters
         ----------
@@ -82,15 +83,23 @@
         Returns
         -------
         bool
-            Whether a report was dropped.
+            Whether a report has changed.
         """
-        before = len(self._entries)
+        before = self._entries
+        current = [
+            attrs.evolve(
+                entry, report=_withdraw_explained(entry.report, is_quarantined)
+            )
+            if now_ms - entry.made_ms >= EXPLAINED_MS
+            else entry
+            for entry in before
+        ]
         self._entries = [
             entry
-            for entry in self._entries
-            if now_ms - entry.made_ms < _get_lifetime_ms(entry.report, is_quarantined)
+            for entry in current
+            if entry.report.fingerprints and now_ms - entry.made_ms < REPORT_LIFETIME_MS
         ]
-        return len(self._entries) != before
+        return self._entries != before
 
 
 def _withdraw(report, is_withdrawn):
@@ -98,8 +107,7 @@
     return attrs.evolve(report, fingerprints=kept)
 
 
-def _get_lifetime_ms(report, is_quarantined):
-    is_explained = any(is_quarantined(item) for item in report.fingerprints)
-    if is_explained or not report.fingerprints:
-        return EXPLAINED_LIFETIME_MS
-    return REPORT_LIFETIME_MS
+def _withdraw_explained(report, is_quarantined):
+    if not any(is_quarantined(item) for item in report.fingerprints):
+        return report
+    return _withdraw(report, lambda item: not is_quarantined(item))
--- a/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
@@ -5,6 +5,7 @@
 from gentianlink.platform import wire
 from gentianlink.sidecar import node_rows
 from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
+from gentianlink.testing.faults import Faults
 from gentianlink.testing.scripted_target import make_answer
 from gentianlink.testing.sidecar_world import STARTED_MS, SidecarWorld
 
@@ -188,6 +189,18 @@
 
         run(work)
 
+    def test_restarted_node_learns_of_the_request_while_the_platform_is_away(self):
+        async def work(world, crashes):
+            await self.quarantine(world, crashes)
+            node = world.nodes[0]
+            await node.kill()
+            world.platform_faults.faults = Faults(down=True)
+            node.start()
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            assert await count_further(world, crashes) == 0
+
+        run(work)
+
     def test_operator_lifts_a_quarantine_by_removing_its_row(self, monkeypatch):
         async def work(world, crashes):
             await self.quarantine(world, crashes)
