Probe a target only if calls don't show whether it runs

A target that resets connections while it is full loses calls all the time, and each loss opened a connection to it at once. The probe waits 150 ms, leaves out a target that has answered a later call, and a connection that it gets clears the losses.

--- a/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
@@ -44,6 +44,11 @@
         # Calls whose caller has left or whose deadline has passed, with the time.
         self._abandoned = []
 
+    @property
+    def has_lost_calls(self):
+        """Whether calls were lost and it is open whether the process has ended."""
+        return bool(self._lost)
+
     def begin(self, call, now_ms):
         """Record that a call is sent to the target.
 
@@ -67,7 +72,11 @@
         """Record that the target answered a call, also if it did not execute it."""
         self._running.pop(dispatch, None)
         if dispatch.sent_ms > self._lost_ms:
-            self._lost.clear()
+            self.note_alive()
+
+    def note_alive(self):
+        """Record that the process runs, although it may have lost calls."""
+        self._lost.clear()
 
     def note_lost(self, dispatch, now_ms):
         """Record that the connection of a call ended without an answer."""
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -35,6 +35,8 @@
 LOST_REASONS = (Reason.TARGET_LOST, Reason.BAD_ANSWER)
 # A suspect ends about as soon as most calls do.
 SUSPECT_RETRY_MS = 200
+# After a lost call; a process that ends has closed its listening socket by then.
+PROBE_DELAY_S = 0.15
 # Longest idle time in milliseconds of a connection that is opened for a probe.
 NEW_CONNECTION = 0
 # A target may send nothing until the deadline while it works; TCP keep-alive probes
@@ -239,22 +241,26 @@
             detector.note_answered(dispatch)
         elif refusal.reason in LOST_REASONS:
             detector.note_lost(dispatch, get_monotonic_ms())
-            self._probe_soon()
+            self._probe_soon(detector)
         else:
             detector.note_abandoned(dispatch, get_monotonic_ms())
         return refusal
 
-    def _probe_soon(self):
-        """Find out whether the target still runs, without waiting for the next call."""
+    def _probe_soon(self, detector):
+        """Find out whether the target still runs, unless calls show it before."""
         if not self._is_probing:
             self._is_probing = True
-            start_task(self._probe(), "probe of the target")
+            start_task(self._probe(detector), "probe of the target")
 
-    async def _probe(self):
+    async def _probe(self, detector):
         try:
+            await asyncio.sleep(PROBE_DELAY_S)
+            if not detector.has_lost_calls:
+                return
             stream, _ = await self._connect(NEW_CONNECTION)
             if stream is not None:
                 self._pool.release(stream, True, get_monotonic_ms())
+                detector.note_alive()
         finally:
             self._is_probing = False
 
