Execute no call whose caller had left when it was read

What callers saw: nothing; targets worked for callers that were gone.

Cause, shown by a test: when a busy event loop reads a call and the end of its connection together, the call is handled first. With an idle connection to the target it is dispatched before the loop reports the end. The test fails before, at the node where the call arrives and at the node beside the target.

Change: the node looks whether the connection has ended before each forward and before the dispatch; one system call that reads nothing.

--- a/packages/node/src/gentianlink/node/proxy/answer_writer.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_writer.py
@@ -49,6 +49,20 @@
         """Whether any part of the answer was written."""
         return self._is_started
 
+    def check_caller(self):
+        """Check that the caller still waits, before something is done for it.
+
+        The event loop may have read the call and the end of the connection together,
+        and reports the end only after the call has been handled.
+
+        Raises
+        ------
+        CallerGone
+            If the caller has closed its connection.
+        """
+        if self._connection.stream.is_closed_by_peer:
+            raise CallerGone
+
     async def start(self, status, headers, chunk=b""):
         """Write the status line and the headers.
 
--- a/packages/node/src/gentianlink/node/proxy/call_stream.py
+++ b/packages/node/src/gentianlink/node/proxy/call_stream.py
@@ -54,6 +54,18 @@
         self._has_answer_begun = False
         self.is_answer_due = False
 
+    @property
+    def is_closed_by_peer(self):
+        """Whether the other end has closed the connection and sent nothing more."""
+        if self.closed():
+            return True
+        try:
+            return not self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def set_nodelay(self, value):
         """Ignore the value: ``TCP_NODELAY`` stays set on this connection."""
 
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -124,6 +124,7 @@
             if self._guard.is_quarantined(call):
                 progress.note_quarantined()
                 break
+            writer.check_caller()
             now_ms = get_monotonic_ms()
             own_id = self._directory.own.node_id
             self._load_view.report(own_id, self._runner.get_load(), now_ms)
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -112,6 +112,7 @@
         is_suspect = False
         try:
             # The target may have left, or the caller given up, during the wait.
+            writer.check_caller()
             refusal = self._check(call, hop)
             if refusal is not None:
                 self._note_refusal(call, hop, gate, refusal)
--- /dev/null
+++ b/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
@@ -0,0 +1,69 @@
+import asyncio
+import socket
+
+import pytest
+
+from gentianlink.platform import wire
+from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop
+from gentianlink.testing.raw_http import format_message
+from gentianlink.testing.sidecar_world import DEADLINE_MS, HOST, SidecarWorld
+
+SETTLE_S = 0.3
+
+
+def send_and_leave(address, body=b"", **headers):
+    """Send a whole call and close the connection before anybody can read it."""
+    all_headers = {
+        "Host": HOST,
+        wire.REQUEST_ID: "gone",
+        wire.DEADLINE_MS: str(DEADLINE_MS),
+    } | headers
+    host, _, port = address.rpartition(":")
+    line = "POST /read/1 HTTP/1.1" if body else "GET /read/1 HTTP/1.1"
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(format_message(line, all_headers, body))
+
+
+def run(work):
+    async def run_world():
+        async with SidecarWorld(["inquiry", "inquiry"], ["a", "b"]) as world:
+            # Opens the connections to the targets, so that no call waits for one.
+            for node in world.nodes:
+                assert (await node.call("/read/1", "before")).status == 200
+                node.target.requests.clear()
+            await work(world)
+
+    asyncio.run(run_world())
+
+
+class TestCallerThatHasLeft:
+    # Guards against executing a call of a caller that left while a busy node had not
+    # read the call yet.
+    @pytest.mark.parametrize("body", [b"", b"x" * 1000])
+    def test_call_that_was_read_after_its_caller_left_is_not_executed(self, body):
+        async def work(world):
+            send_and_leave(world.nodes[0].calls_address, body)
+            await asyncio.sleep(SETTLE_S)
+            assert [node.target.requests for node in world.nodes] == [[], []]
+
+        run(work)
+
+    def test_forwarded_call_whose_node_has_left_is_not_executed(self):
+        async def work(world):
+            node = world.nodes[1]
+            record = node.sidecar._directory.own
+            hop = Hop(
+                incarnation=record.incarnation,
+                target_id=node.target.target_id,
+                rule_name="read",
+                priority=1,
+                latency_ms=500.0,
+                target_latency_ms=500.0,
+                may_wait=True,
+                is_repeatable=True,
+            )
+            send_and_leave(record.forward_address, b"", **{HOP_HEADER: format_hop(hop)})
+            await asyncio.sleep(SETTLE_S)
+            assert node.target.requests == []
+
+        run(work)
