--- a/packages/sidecar/src/gentianlink/sidecar/completed_calls.py
+++ b/packages/sidecar/src/gentianlink/sidecar/completed_calls.py
@@ -1,7 +1,7 @@
 """Requests that a target has recently completed, and that therefore don't crash it."""
 
-# At a hundred calls a second, those of the last minute or so.
-MAX_COMPLETED = 4096
+# At a hundred calls a second, those of the last twenty seconds.
+MAX_COMPLETED = 2048
 
 
 class CompletedCalls:
