Drop what a target has not received of a call whose caller has left

What callers saw: nothing; targets ran calls that nobody waited for. The first, an upload, was dispatched by the node beside the target 0.48 s before its client left, and the log shows its end at that moment; the target read it 0.50 s later.

Cause: the connection was closed, but a usual close lets the kernel deliver what was written, so a target that reads late gets the whole call. A test with a target that reads late fails before. Change: a connection that is given up while the other end has not received everything is reset. What a target has received and not read can't be taken back.

Crash detection: a refusal by the next process at the address no longer counts as a sign of life of the one that crashed; a withdrawal lets the remaining request be judged.

--- a/packages/node/src/gentianlink/node/proxy/exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange.py
@@ -54,12 +54,12 @@
     connection = MessageConnection(stream, True, _PARAMETERS)
     timer = ExchangeTimer(stream, relay, call.deadline_ms, silence_ms)
     timer.start(get_monotonic_ms())
-    relay.set_stop_callback(stream.close)
+    relay.set_stop_callback(stream.abort)
     send_task = None
     try:
         send_task = _send(connection, call)
         if send_task is not None:
-            relay.set_finish_callback(lambda: send_task.done() or stream.close())
+            relay.set_finish_callback(lambda: send_task.done() or stream.abort())
         is_open = await connection.read_response(relay)
         for _ in range(MAX_FOREIGN_ANSWERS):
             if not is_open or not relay.is_foreign or stream.closed():
@@ -71,7 +71,7 @@
             next_reader.finish()
             is_open = await next_reader.read_response(relay)
     except (StreamClosedError, OSError, asyncio.CancelledError) as error:
-        stream.close()
+        stream.abort()
         if isinstance(error, asyncio.CancelledError):
             raise
         if _is_refused(timer, relay):
@@ -85,7 +85,7 @@
     if _is_refused(timer, relay):
         return False
     if timer.error or relay.is_bad or relay.is_abandoned or not is_whole:
-        stream.close()
+        stream.abort()
         raise _get_failure(timer, relay)
     return is_open and is_sent and relay.is_keep_alive
 
--- a/packages/node/src/gentianlink/node/proxy/exchange_stream.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_stream.py
@@ -1,6 +1,9 @@
 """A connection that this node opened to a target or to another node."""
 
+import fcntl
 import socket
+import struct
+import termios
 
 from tornado.iostream import IOStream
 
@@ -8,6 +11,8 @@
 
 MAX_BUFFER_BYTES = 1 << 20
 READ_CHUNK_BYTES = 1 << 16
+# Value of SO_LINGER: on, for zero seconds.
+DROP_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ExchangeStream(IOStream):
@@ -52,5 +57,25 @@
             return False
         return False
 
+    def abort(self):
+        """Close the connection and drop what the other end has not received.
+
+        After a usual close the kernel goes on to deliver what was written, and the
+        other end may execute a call that nobody waits for any more.
+        """
+        if not self.closed() and _count_undelivered_bytes(self.socket):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_AT_CLOSE)
+        self.close()
+
     def set_nodelay(self, value):
         """Ignore the value: ``TCP_NODELAY`` stays set on this connection."""
+
+
+def _count_undelivered_bytes(connection):
+    """Return the bytes that were written and that the other end has not received."""
+    buffer = bytearray(struct.calcsize("i"))
+    try:
+        fcntl.ioctl(connection, termios.TIOCOUTQ, buffer)
+    except OSError:
+        return 0
+    return struct.unpack("i", buffer)[0]
--- a/packages/node/src/gentianlink/node/proxy/exchange_timer.py
+++ b/packages/node/src/gentianlink/node/proxy/exchange_timer.py
@@ -74,4 +74,4 @@
         if self.error is None:
             self._schedule(now_ms)
         else:
-            self._stream.close()
+            self._stream.abort()
--- a/packages/node/src/gentianlink/node/proxy/test_exchange_timer.py
+++ b/packages/node/src/gentianlink/node/proxy/test_exchange_timer.py
@@ -17,7 +17,7 @@
 class FakeStream:
     is_closed: bool = False
 
-    def close(self):
+    def abort(self):
         self.is_closed = True
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
@@ -69,14 +69,17 @@
         return dispatch
 
     def note_answered(self, dispatch):
-        """Record that the target answered a call, also if it did not execute it."""
+        """Record that the process has completed a call."""
         self._running.pop(dispatch, None)
         if dispatch.sent_ms > self._lost_ms:
-            self.note_alive()
+            self._lost.clear()
 
-    def note_alive(self):
-        """Record that the process runs, although it may have lost calls."""
-        self._lost.clear()
+    def note_not_executed(self, dispatch):
+        """Record that a call was not executed.
+
+        That is no sign of life: another process may have refused the call.
+        """
+        self._running.pop(dispatch, None)
 
     def note_lost(self, dispatch, now_ms):
         """Record that the connection of a call ended without an answer."""
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine.py
@@ -126,8 +126,6 @@
         for fingerprint in fingerprints:
             self._crashes_by_content[get_content(fingerprint)].add(report.crash_id)
         self.drop_old(now_ms)
-        if known is not None:
-            return []
         contents = sorted({get_content(item) for item in fingerprints})
         # All are judged before any is quarantined, which would explain the crashes of
         # the others.
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -238,8 +238,9 @@
             raise
         if refusal is None:
             self._guard.note_completed(call)
-        if refusal is None or refusal.outcome is Outcome.NOT_RUN:
             detector.note_answered(dispatch)
+        elif refusal.outcome is Outcome.NOT_RUN:
+            detector.note_not_executed(dispatch)
         elif refusal.reason in LOST_REASONS:
             detector.note_lost(dispatch, get_monotonic_ms())
             self._probe_soon(detector)
@@ -261,7 +262,6 @@
             stream, _ = await self._connect(NEW_CONNECTION)
             if stream is not None:
                 self._pool.release(stream, True, get_monotonic_ms())
-                detector.note_alive()
         finally:
             self._is_probing = False
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
@@ -70,13 +70,14 @@
         detector.note_answered(later)
         assert self.take_ids(detector) == []
 
-    def test_lost_calls_do_not_count_once_the_process_accepts_a_connection(self):
+    def test_refusal_by_the_next_process_does_not_hide_the_crash(self):
         detector = CrashDetector()
         [lost] = self.begin(detector, "lost")
         detector.note_lost(lost, 10.0)
+        [refused] = self.begin(detector, "refused", now_ms=20.0)
+        detector.note_not_executed(refused)
         assert detector.has_lost_calls
-        detector.note_alive()
-        assert self.take_ids(detector) == []
+        assert self.take_ids(detector) == ["lost"]
 
     def test_answer_that_was_sent_before_the_crash_shows_nothing(self):
         detector = CrashDetector()
--- a/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
@@ -67,3 +67,43 @@
             assert node.target.requests == []
 
         run(work)
+
+
+class TestTargetThatReadsLate:
+    BODY_BYTES = 400 * 1024
+
+    # Guards against delivering the rest of a call whose caller has left, so that a
+    # target executes it once it gets round to reading it.
+    def test_call_is_not_delivered_after_its_caller_has_left(self):
+        async def work(world):
+            node = world.nodes[0]
+            await node.target.stop()
+            may_read = asyncio.Event()
+            received = []
+
+            async def read_late(reader, writer):
+                await may_read.wait()
+                size = 0
+                try:
+                    while chunk := await reader.read(1 << 16):
+                        size += len(chunk)
+                except ConnectionError:
+                    pass
+                received.append(size)
+                writer.close()
+
+            host, _, port = node.target.address.rpartition(":")
+            # The limit keeps the rest of the body out of the target's process.
+            server = await asyncio.start_server(read_late, host, int(port), limit=1024)
+            call = asyncio.create_task(
+                node.call("/read/1", "gone", "POST", b"x" * self.BODY_BYTES)
+            )
+            await asyncio.sleep(SETTLE_S)
+            call.cancel()
+            await asyncio.sleep(SETTLE_S)
+            may_read.set()
+            await world.wait_until(lambda: received)
+            server.close()
+            assert all(size < self.BODY_BYTES for size in received)
+
+        run(work)
--- a/packages/sidecar/src/gentianlink/sidecar/test_quarantine.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_quarantine.py
@@ -102,6 +102,12 @@
         assert quarantine.learn(make_report(2, "bad"), 6.0) == []
         assert quarantine.requests == []
 
+    def test_request_is_found_once_its_companion_is_known_to_be_harmless(self):
+        quarantine = Quarantine()
+        learn(quarantine, *["bad unlucky"] * MIN_CRASHES)
+        [request] = quarantine.learn(make_report(1, "bad"), 5.0)
+        assert request.content.startswith("bad")
+
     def test_lifted_quarantine_returns_only_after_new_crashes(self):
         quarantine = Quarantine()
         learn(quarantine, *["bad"] * MIN_CRASHES)
