--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -236,17 +236,22 @@
         except (CallerGone, asyncio.CancelledError):
             detector.note_abandoned(dispatch, get_monotonic_ms())
             raise
+        self._note_end(detector, dispatch, refusal)
+        return refusal
+
+    def _note_end(self, detector, dispatch, refusal):
+        """Record whether the target has survived a call."""
+        now_ms = get_monotonic_ms()
         if refusal is None:
-            self._guard.note_completed(call)
+            self._guard.note_completed(dispatch.call)
             detector.note_answered(dispatch)
         elif refusal.outcome is Outcome.NOT_RUN:
             detector.note_not_executed(dispatch)
         elif refusal.reason in LOST_REASONS:
-            detector.note_lost(dispatch, get_monotonic_ms())
+            detector.note_lost(dispatch, now_ms)
             self._probe_soon(detector)
         else:
-            detector.note_abandoned(dispatch, get_monotonic_ms())
-        return refusal
+            detector.note_abandoned(dispatch, now_ms)
 
     def _probe_soon(self, detector):
         """Find out whether the target still runs, unless calls show it before."""
