Report the calls in flight in the order of sending, 64 at most

A report takes the last calls, which a crash is most likely due to; they were in the order in which the losses were noticed. 64 hold the calls of the largest targets known.

--- a/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
@@ -38,10 +38,12 @@
     def __init__(self):
         # In the order in which they were sent.
         self._running = {}
-        # Calls that have lost their connection since the last sign of life.
+        # Time of sending and call, for those that have lost their connection since the
+        # last sign of life.
         self._lost = []
         self._lost_ms = float("-inf")
-        # Calls whose caller has left or whose deadline has passed, with the time.
+        # Time, time of sending and call, for those whose caller has left or whose
+        # deadline has passed.
         self._abandoned = []
 
     @property
@@ -85,7 +87,7 @@
         """Record that the connection of a call ended without an answer."""
         if dispatch in self._running:
             del self._running[dispatch]
-            self._lost.append(summarize_call(dispatch.call))
+            self._lost.append((dispatch.sent_ms, summarize_call(dispatch.call)))
             self._lost_ms = now_ms
             del self._lost[:-MAX_ENDED]
 
@@ -94,7 +96,8 @@
         if dispatch in self._running:
             del self._running[dispatch]
             self._drop_old(now_ms)
-            self._abandoned.append((now_ms, summarize_call(dispatch.call)))
+            summary = summarize_call(dispatch.call)
+            self._abandoned.append((now_ms, dispatch.sent_ms, summary))
             del self._abandoned[:-MAX_ENDED]
 
     def _drop_old(self, now_ms):
@@ -114,15 +117,15 @@
         Returns
         -------
         list of CallSummary
-            Calls that it may have been executing; empty if it lost none, and on each
-            later call of this method.
+            Calls that it may have been executing, those sent last at the end; empty if
+            it lost none, and on each later call of this method.
         """
         if not self._lost:
             return []
         self._drop_old(self._lost_ms)
-        calls = [*self._lost, *(call for _, call in self._abandoned)]
+        calls = [*self._lost, *(item[1:] for item in self._abandoned)]
         calls += [
-            summarize_call(item.call)
+            (item.sent_ms, summarize_call(item.call))
             for item in self._running
             if item.sent_ms <= self._lost_ms
         ]
@@ -131,4 +134,5 @@
         }
         self._lost.clear()
         self._abandoned.clear()
-        return calls
+        calls.sort(key=lambda item: item[0])
+        return [call for _, call in calls]
--- a/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
+++ b/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
@@ -5,7 +5,7 @@
 # Oldest first, more reports are dropped: the record of a node is passed on whole.
 MAX_REPORTS = 8
 # A target executes few calls at a time; of more, those sent last are reported.
-MAX_CALLS = 32
+MAX_CALLS = 64
 REPORT_LIFETIME_MS = 3_600_000.0
 # After this time all nodes know that a request is quarantined, and which others were in
 # flight matters no more.
--- a/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
@@ -70,6 +70,15 @@
         detector.note_answered(later)
         assert self.take_ids(detector) == []
 
+    def test_calls_are_in_the_order_in_which_they_were_sent(self):
+        detector = CrashDetector()
+        sent = [detector.begin(make_call(f"id-{n}"), float(n)) for n in range(4)]
+        detector.note_lost(sent[2], 10.0)
+        detector.note_abandoned(sent[3], 10.0)
+        detector.note_lost(sent[0], 10.0)
+        calls = [item.request_id for item in detector.take_crash(11.0)]
+        assert calls == ["id-0", "id-1", "id-2", "id-3"]
+
     def test_refusal_by_the_next_process_does_not_hide_the_crash(self):
         detector = CrashDetector()
         [lost] = self.begin(detector, "lost")
