Log each call that is refused because its request is quarantined

From a refused call's id the logs did not lead to the request and its crashes: the line of the call named the reason only. A test now goes that way, from the id over the content to the targets and the calls in flight.

--- a/packages/sidecar/src/gentianlink/sidecar/call_progress.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_progress.py
@@ -116,9 +116,15 @@
             self._retry_after_ms.append(refusal.retry_after_ms)
         self._refusal = combine_refusals(self._refusal, refusal)
 
-    def note_quarantined(self):
-        """Record that the call must not be sent to any target."""
-        self._refusal = combine_refusals(self._refusal, Refusal(Reason.CRASHES_TARGETS))
+    def note_quarantined(self, refusal):
+        """Record that the call must not be sent to any target.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            Why.
+        """
+        self._refusal = combine_refusals(self._refusal, refusal)
         self._retry_after_ms.clear()
 
     def note_failure(self, choice):
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -121,8 +121,9 @@
         # Latest 5xx answer of a target; relayed if no other target does better.
         failed_answer = None
         while True:
-            if self._guard.is_quarantined(call):
-                progress.note_quarantined()
+            refusal = self._guard.check(call)
+            if refusal is not None:
+                progress.note_quarantined(refusal)
                 break
             writer.check_caller()
             now_ms = get_monotonic_ms()
--- a/packages/sidecar/src/gentianlink/sidecar/crash_guard.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_guard.py
@@ -1,7 +1,10 @@
 """Keep requests that crash the targets that execute them away from the targets."""
 
+from gentianlink.core.reason import Reason
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
+from gentianlink.node.proxy.refusal import Refusal
+from gentianlink.platform import wire
 from gentianlink.sidecar.call_fingerprint import compute_fingerprint, get_content
 from gentianlink.sidecar.completed_calls import CompletedCalls
 from gentianlink.sidecar.crash_report import CrashReport
@@ -54,6 +57,29 @@
             return False
         return self._quarantine.is_quarantined(compute_fingerprint(call))
 
+    def check(self, call):
+        """Return the refusal of a call that must not be sent to any target.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+
+        Returns
+        -------
+        Refusal or None
+            None if the call may be sent. A refusal names no time after which the call
+            would be served.
+        """
+        if not self.is_quarantined(call):
+            return None
+        _LOG.info(
+            "quarantined call not sent",
+            id=call.headers.get(wire.REQUEST_ID, ""),
+            content=get_content(compute_fingerprint(call)),
+        )
+        return Refusal(Reason.CRASHES_TARGETS)
+
     def is_suspect(self, call):
         """Return whether a call may be what crashed several targets."""
         if self._quarantine.is_empty:
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -184,8 +184,9 @@
             return Refusal(
                 Reason.TARGET_UNREACHABLE, retry_after_ms=STALE_STATE_RETRY_MS
             )
-        if self._guard.is_quarantined(call):
-            return Refusal(Reason.CRASHES_TARGETS)
+        refusal = self._guard.check(call)
+        if refusal is not None:
+            return refusal
         # Two suspects at the same target could not be told apart after a crash.
         if self._is_suspect_running and self._guard.is_suspect(call):
             return Refusal(Reason.OVERLOADED, retry_after_ms=SUSPECT_RETRY_MS)
--- a/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
@@ -1,6 +1,8 @@
 import asyncio
+import collections
 
 import pytest
+import structlog
 
 from gentianlink.platform import wire
 from gentianlink.sidecar import node_rows
@@ -135,6 +137,28 @@
 
         run(work)
 
+    def test_log_leads_from_a_refused_call_to_the_crashes(self):
+        async def work(world, crashes):
+            await crash_targets(world, crashes)
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            await send_again(world, 100)
+
+        with structlog.testing.capture_logs() as lines:
+            run(work)
+        by_event = collections.defaultdict(list)
+        for line in lines:
+            by_event[line["event"]].append(line)
+        [refused] = by_event["quarantined call not sent"]
+        assert refused["id"] == "crash-100"
+        quarantined = by_event["request quarantined"][0]
+        assert quarantined["content"] == refused["content"]
+        in_flight = by_event["in flight at a crash"]
+        targets = {name for name, _ in quarantined["crashes"]}
+        assert {line["target"] for line in in_flight} == targets
+        for line in in_flight:
+            assert line["fingerprint"].startswith(refused["content"])
+            assert line["path"] == "/read/crashes"
+
     def test_same_path_with_another_body_is_served(self):
         async def work(world, crashes):
             await crash_targets(world, crashes, method="POST", body=b"bad")
