--- a/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_detector.py
@@ -105,14 +105,8 @@
             item for item in self._abandoned if now_ms - item[0] < ABANDONED_MS
         ]
 
-    def take_crash(self, now_ms):
-        """Return the calls in flight if the process that has ended has crashed.
-
-        Parameters
-        ----------
-        now_ms : float
-            Present time on the monotonic clock in milliseconds, at which the process
-            is known to have ended.
+    def take_crash(self):
+        """Return the calls in flight if the process, which has ended, has crashed.
 
         Returns
         -------
--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -201,7 +201,7 @@
                 before=None if previous is None else previous.target_id,
             )
             if previous is not None:
-                self._check_crashed(previous, now_ms)
+                self._check_crashed(previous)
             self._gate.close(Reason.DRAINING)
             self._gate = PriorityGate(info.slots)
             self._detector = OutlierDetector()
@@ -217,11 +217,11 @@
                 _LOG.info("target state", target=info.target_id, state=info.state.value)
             self._on_changed()
 
-    def _check_crashed(self, info, now_ms):
+    def _check_crashed(self, info):
         """Report a crash if a process that has ended lost calls while it was ready."""
         if info.state is not TargetState.READY:
             return
-        calls = self._crash_detector.take_crash(now_ms)
+        calls = self._crash_detector.take_crash()
         if calls:
             self._on_crashed(info, calls)
 
@@ -229,7 +229,7 @@
         """Mark the target as unreachable and back off from connecting to it."""
         self._unreachable_until_ms = now_ms + CONNECT_BACKOFF_MS
         if self._info is not None:
-            self._check_crashed(self._info, now_ms)
+            self._check_crashed(self._info)
         if self._info is not None and self._info.is_reachable:
             _LOG.warning("target unreachable", target=self._info.target_id)
             self._info = attrs.evolve(self._info, is_reachable=False)
--- a/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crash_detector.py
@@ -45,8 +45,8 @@
     def begin(self, detector, *request_ids, now_ms=0.0):
         return [detector.begin(make_call(item), now_ms) for item in request_ids]
 
-    def take_ids(self, detector, now_ms=100.0):
-        return sorted(item.request_id for item in detector.take_crash(now_ms))
+    def take_ids(self, detector):
+        return sorted(item.request_id for item in detector.take_crash())
 
     def test_crash_names_the_calls_in_flight_once(self):
         detector = CrashDetector()
@@ -76,7 +76,7 @@
         detector.note_lost(sent[2], 10.0)
         detector.note_abandoned(sent[3], 10.0)
         detector.note_lost(sent[0], 10.0)
-        calls = [item.request_id for item in detector.take_crash(11.0)]
+        calls = [item.request_id for item in detector.take_crash()]
         assert calls == ["id-0", "id-1", "id-2", "id-3"]
 
     def test_refusal_by_the_next_process_does_not_hide_the_crash(self):
--- a/packages/testing/src/gentianlink/testing/quarantine_model.py
+++ b/packages/testing/src/gentianlink/testing/quarantine_model.py
@@ -138,7 +138,7 @@
         info = TargetInfo(
             self.name, str(self.service), SLOTS, TargetState.READY, self.started_ms, 1
         )
-        calls = self._detector.take_crash(get_virtual_ms())
+        calls = self._detector.take_crash()
         self._detector = CrashDetector()
         self.guard.note_crash(info, calls)
 
