Write the row of a quarantined request again if it changed while it was written

Found by reading: a request that was quarantined for further callers while its row was being written kept the row with the first caller, as the answer marked the key as stored. A restart of all nodes would have let the other callers pass. The test failed before.

--- a/packages/sidecar/src/gentianlink/sidecar/quarantine.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine.py
@@ -11,8 +11,6 @@
 The decision depends only on the reports, so nodes that know the same reports agree.
 """
 
-import collections
-
 import attrs
 
 from gentianlink.sidecar.call_fingerprint import get_caller, get_content
@@ -62,7 +60,7 @@
     def __init__(self):
         # In the order in which they became known.
         self._crashes = {}
-        self._crashes_by_content = collections.defaultdict(set)
+        self._crashes_by_content = {}
         self._requests = {}
 
     @property
@@ -124,7 +122,8 @@
         learned_ms = now_ms if known is None else known.learned_ms
         self._crashes[report.crash_id] = _Crash(fingerprints, learned_ms)
         for fingerprint in fingerprints:
-            self._crashes_by_content[get_content(fingerprint)].add(report.crash_id)
+            content = get_content(fingerprint)
+            self._crashes_by_content.setdefault(content, set()).add(report.crash_id)
         self.drop_old(now_ms)
         contents = sorted({get_content(item) for item in fingerprints})
         # All are judged before any is quarantined, which would explain the crashes of
@@ -147,7 +146,7 @@
                 return None
         else:
             crashes = known.crashes
-            crashes += tuple(self._crashes_by_content[content] - set(crashes))
+            crashes += tuple(self._get_crashes(content) - set(crashes))
         request = QuarantinedRequest(
             content, self._find_callers(content, known), tuple(sorted(crashes))
         )
@@ -155,11 +154,14 @@
             return None
         return request
 
+    def _get_crashes(self, content):
+        return self._crashes_by_content.get(content, set())
+
     def _find_unexplained(self, content):
         """Return the crashes of a request that no quarantined one explains."""
         return [
             crash_id
-            for crash_id in self._crashes_by_content.get(content, ())
+            for crash_id in self._get_crashes(content)
             if not any(
                 other in self._requests
                 for other in self._list_contents(crash_id)
@@ -180,7 +182,7 @@
         if known is not None and not known.callers:
             return ()
         callers = set() if known is None else set(known.callers)
-        for crash_id in self._crashes_by_content[content]:
+        for crash_id in self._get_crashes(content):
             for fingerprint in self._crashes[crash_id].fingerprints:
                 if get_content(fingerprint) == content:
                     callers.add(get_caller(fingerprint))
@@ -233,7 +235,7 @@
         crash = self._crashes.pop(crash_id)
         for fingerprint in crash.fingerprints:
             content = get_content(fingerprint)
-            crashes = self._crashes_by_content[content]
+            crashes = self._get_crashes(content)
             crashes.discard(crash_id)
             if not crashes:
-                del self._crashes_by_content[content]
+                self._crashes_by_content.pop(content, None)
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_rows.py
@@ -31,27 +31,32 @@
     def __init__(self, on_stored, on_lifted):
         self._on_stored = on_stored
         self._on_lifted = on_lifted
-        # Values by key.
+        # Values by key: of this node's rows, of those to be written, and of all that it
+        # knows to be stored.
         self._own = {}
+        self._due = {}
         self._stored = {}
 
     @property
     def due(self):
         """Keys and values of the rows to write."""
-        return [item for item in self._own.items() if item[0] not in self._stored]
+        return list(self._due.items())
 
     def put(self, request):
         """Have the row of a request written."""
         key = get_key(request)
-        self._own[key] = encode_request(request)
-        self._stored.pop(key, None)
+        self._own[key] = self._due[key] = encode_request(request)
 
     def note_written(self, rows):
-        """Record that rows have been written."""
-        self._stored.update(rows)
+        """Record that rows have been written, which may have changed since then."""
+        for key, value in rows:
+            self._stored[key] = value
+            if self._due.get(key) == value:
+                del self._due[key]
 
     def note_restored(self):
         """Record that the table service has returned from a copy that may lack rows."""
+        self._due = dict(self._own)
         self._stored.clear()
 
     def note_read(self, rows, is_complete):
@@ -68,8 +73,8 @@
         if is_complete:
             removed |= self._stored.keys() - {row.key for row in rows}
         for key in sorted(removed):
-            self._own.pop(key, None)
-            self._stored.pop(key, None)
+            for values in (self._own, self._due, self._stored):
+                values.pop(key, None)
             self._on_lifted(key.removeprefix(KEY_PREFIX))
         for row in rows:
             if not row.is_removed:
--- a/packages/sidecar/src/gentianlink/sidecar/test_quarantine_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_quarantine_rows.py
@@ -1,3 +1,5 @@
+import attrs
+
 from gentianlink.platform.table_client import RowChange
 from gentianlink.sidecar.quarantine import QuarantinedRequest
 from gentianlink.sidecar.quarantine_codec import encode_request, get_key
@@ -20,6 +22,15 @@
         rows.note_written(rows.due)
         assert rows.due == []
 
+    def test_row_that_changes_while_it_is_written_is_written_again(self):
+        rows = self.make()
+        rows.put(REQUEST)
+        due = rows.due
+        wider = attrs.evolve(REQUEST, callers=())
+        rows.put(wider)
+        rows.note_written(due)
+        assert rows.due == [(KEY, encode_request(wider))]
+
     def test_row_of_another_node_is_loaded_once(self):
         rows = self.make()
         rows.note_read([ROW], True)
