Show which attempt an arrival at a target was, and the repeats of a service in the fleet

Of a report on the retry budget neither logs nor metrics could tell whether repeats were too many or not counted at all: the number of the attempt ended at the node where a call began, and gentianlink_retries_total counts only attempts that asked for the budget.

The hop carries the number of the attempt in its flags, which older releases search for their own letters only. The node beside the target logs it (run at the target) and counts first arrivals and repeats, in total and within the budget's window.

--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -170,7 +170,7 @@
                 break
             if rollout_call is not None:
                 rollout_call.note_attempt()
-            hop = self._make_hop(choice, rule, now_ms - started_ms)
+            hop = self._make_hop(choice, rule, now_ms - started_ms, progress.sent)
             self._note_choice(call, rule, choice)
             buffer, refusal = await self._attempt(call, rule, choice, hop, writer)
             if refusal is None:
@@ -264,7 +264,7 @@
             sent=progress.sent,
         )
 
-    def _make_hop(self, choice, rule, elapsed_ms):
+    def _make_hop(self, choice, rule, elapsed_ms, sent):
         node_id = choice.candidate.node_id
         record = self._directory.get(node_id) or self._directory.own
         return Hop(
@@ -277,6 +277,7 @@
             may_wait=choice.may_wait,
             is_repeatable=rule.is_repeatable,
             version=self._get_version(),
+            attempt=sent + 1,
         )
 
     async def _attempt(self, call, rule, choice, hop, writer):
--- a/packages/sidecar/src/gentianlink/sidecar/hop.py
+++ b/packages/sidecar/src/gentianlink/sidecar/hop.py
@@ -4,6 +4,8 @@
 each carry all their metadata in one short header.
 """
 
+import string
+
 import attrs
 
 from gentianlink.core.outcome import Outcome
@@ -44,6 +46,8 @@
         Whether a second execution does no harm.
     version : int
         Catalogue version in force at the sender.
+    attempt : int
+        1 plus the number of targets that earlier attempts have reached, or may have.
     """
 
     incarnation: int
@@ -55,13 +59,22 @@
     may_wait: bool
     is_repeatable: bool
     version: int = 0
+    attempt: int = 1
+
+    @property
+    def is_repeat(self):
+        """Whether an earlier attempt of the call may have reached a target."""
+        return self.attempt > 1
 
 
 def format_hop(hop):
     """Return the value of the header of a forwarded call."""
+    # Releases that don't know the number of the attempt look for their letters only.
     flags = (_MAY_WAIT if hop.may_wait else "") + (
         _REPEATABLE if hop.is_repeatable else ""
     )
+    if hop.is_repeat:
+        flags += str(hop.attempt)
     return (
         f"{hop.incarnation} {hop.target_id} {hop.rule_name} {hop.priority} "
         f"{hop.latency_ms:.0f} {hop.target_latency_ms:.0f} "
@@ -96,11 +109,17 @@
             _MAY_WAIT in flags,
             _REPEATABLE in flags,
             int(version),
+            _parse_attempt(flags),
         )
     except ValueError:
         return None
 
 
+def _parse_attempt(flags):
+    digits = "".join(item for item in flags if item in string.digits)
+    return int(digits) if digits else 1
+
+
 def format_result(refusal, load, version):
     """Return the value of the header of the answer to a forwarded call.
 
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -33,6 +33,7 @@
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.quarantine_rows import QuarantineRows
 from gentianlink.sidecar.reader_selector import ReaderSelector
+from gentianlink.sidecar.retries.arrival_window import ArrivalWindow
 from gentianlink.sidecar.retry_share import RetryShare
 from gentianlink.sidecar.rollout.rollouts import TURN_S, Rollouts
 from gentianlink.sidecar.routing.load_view import LoadView
@@ -149,6 +150,7 @@
         )
         self._pool = ConnectionPool(MAX_CONNECTIONS, CONNECT_TIMEOUT_MS)
         self._dispatches = DispatchLog()
+        self._arrivals = ArrivalWindow(settings.bounds.retry_window_ms)
         self._runner = TargetRunner(
             self._local_target,
             self._pool,
@@ -156,6 +158,7 @@
             self._guard,
             self._metrics,
             self._rollouts,
+            self._arrivals,
             make_get_flow(lambda: self._holder.rules),
             node.link_mbps,
         )
@@ -381,6 +384,7 @@
             "catalogue_lag_seconds": self._feed.compute_lag_ms(now_ms) / 1000,
             "feed_call_seconds": self._feed.compute_call_age_ms(now_ms) / 1000,
             "pipelined_bytes": self._caller_server.pipelined_bytes,
+            "arrivals_in_window": self._list_arrival_gauges(now_ms),
             "gate_in_flight": self._local_target.gate.in_flight,
             "gate_waiting": self._local_target.gate.waiting,
             "target_work_ms": self._list_work_gauges(),
@@ -400,6 +404,17 @@
         info = self._local_target.info
         return [({"rule": name}, ms) for name, ms in (info.work_ms if info else ())]
 
+    def _list_arrival_gauges(self, now_ms):
+        arrivals = self._arrivals
+        return [
+            ({"service": service, "attempt": attempt}, count(service, now_ms))
+            for service in arrivals.services
+            for attempt, count in (
+                ("first", arrivals.count_firsts),
+                ("repeat", arrivals.count_repeats),
+            )
+        ]
+
     def _list_load_gauges(self, now_ms):
         return [
             ({"service": service, "data_centre": data_centre}, load)
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -63,6 +63,8 @@
         Counts refusals and records the times in the queue and at the target.
     rollouts : Rollouts
         Says whether the target may get calls; takes evidence on its version.
+    arrivals : ArrivalWindow
+        Counts first arrivals and repeats at the target.
     get_flow : callable, optional
         Takes the name of a tenant, empty for none; returns its Flow.
     link_mbps : float, optional
@@ -77,10 +79,12 @@
         guard,
         metrics,
         rollouts,
+        arrivals,
         get_flow=lambda tenant: NO_FLOW,
         link_mbps=0.0,
     ):
         self._rollouts = rollouts
+        self._arrivals = arrivals
         self._local_target = local_target
         self._pool = pool
         self._dispatches = dispatches
@@ -211,6 +215,7 @@
             rule=hop.rule_name,
             target=hop.target_id,
             version=hop.version,
+            attempt=hop.attempt,
             waited_ms=round(waited_ms, 1),
             worked_ms=round(worked_ms, 1),
         )
@@ -270,6 +275,7 @@
             _LOG.info("fenced call not sent", id=request_id)
             return Refusal(Reason.DEADLINE_PASSED)
         self._dispatches.record(request_id, now_ms)
+        self._note_arrival(hop, now_ms)
         call.headers[wire.EXPECTED_TARGET] = hop.target_id
         detector = self._local_target.crash_detector
         dispatch = detector.begin(call, now_ms)
@@ -281,6 +287,12 @@
         self._note_end(detector, dispatch, refusal)
         return refusal
 
+    def _note_arrival(self, hop, now_ms):
+        service = self._local_target.info.service
+        self._arrivals.record(service, hop.is_repeat, now_ms)
+        attempt = "repeat" if hop.is_repeat else "first"
+        self._metrics.count("arrivals_total", service=service, attempt=attempt)
+
     def _note_end(self, detector, dispatch, refusal):
         """Record whether the target has survived a call."""
         now_ms = get_monotonic_ms()
--- a/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
@@ -194,6 +194,8 @@
     def test_round_trip(self):
         hop = Hop(17, "i-1", "r-2", 1, 480.0, 500.0, True, False, 12)
         assert parse_hop(format_hop(hop)) == hop
+        third = attrs.evolve(hop, attempt=3, may_wait=False)
+        assert parse_hop(format_hop(third)) == third
         refusal = Refusal(Reason.OVERLOADED, Outcome.NOT_RUN, 70)
         load = TargetLoad(3, 2, 40.0)
         assert parse_result(format_result(refusal, load, 9)) == (refusal, load, 9)
