Count a target that answers 421 as reached, and send it no calls for a while

What callers saw: none; targets of a service got a call up to as often as the service has targets. Cause: a target's 421 (another target has the address) became the reason that a node gives without asking its target, so the attempt was not counted: neither against the retry budget nor against the rule's number of targets, and each later call was sent there again until the next heartbeat.

A node of the former release reads the new reason as a bad answer with an unknown outcome, so during an upgrade such a call gets 502 in place of another target.

--- a/packages/core/src/gentianlink/core/reason.py
+++ b/packages/core/src/gentianlink/core/reason.py
@@ -29,6 +29,7 @@
     TARGET_LOST = "target-lost"
     TARGET_SILENT = "target-silent"
     WRONG_NODE = "wrong-node"
+    OTHER_TARGET = "other-target"
     TARGET_SHED = "target-shed"
     BAD_ANSWER = "bad-answer"
     CONNECTION_LIMIT = "connection-limit"
--- a/packages/sidecar/src/gentianlink/sidecar/routing/call_progress.py
+++ b/packages/sidecar/src/gentianlink/sidecar/routing/call_progress.py
@@ -33,9 +33,8 @@
 # Attempts of one call in other data centres; a refused one costs bytes as well.
 MAX_AWAY = 2
 
-# Reasons of refusals by the target itself: the call reached the target, which did not
-# run it.
-REASONS_SHED_BY_TARGET = (Reason.TARGET_SHED,)
+# Reasons of refusals by a target itself: the call reached it, and it did not run it.
+REASONS_SHED_BY_TARGET = (Reason.TARGET_SHED, Reason.OTHER_TARGET)
 
 
 # Reasons of refusals that each other target would give as well.
--- a/packages/sidecar/src/gentianlink/sidecar/target_answer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_answer.py
@@ -18,7 +18,7 @@
         Refusal(Reason.TARGET_SHED, retry_after_ms=STALE_STATE_RETRY_MS)
     ),
     AnswerKind.OTHER_TARGET: Verdict(
-        Refusal(Reason.WRONG_NODE, retry_after_ms=STALE_STATE_RETRY_MS)
+        Refusal(Reason.OTHER_TARGET, retry_after_ms=STALE_STATE_RETRY_MS)
     ),
 }
 # Kinds of answers whose other headers describe the target that the call was sent to.
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -32,6 +32,7 @@
     Reason.TARGET_SILENT,
     Reason.BAD_ANSWER,
     Reason.TARGET_SHED,
+    Reason.OTHER_TARGET,
 )
 # Reasons after which the process of the target may have ended.
 LOST_REASONS = (Reason.TARGET_LOST, Reason.BAD_ANSWER)
@@ -301,12 +302,21 @@
             detector.note_answered(dispatch)
         elif refusal.outcome is Outcome.NOT_RUN:
             detector.note_not_executed(dispatch)
+            if refusal.reason is Reason.OTHER_TARGET:
+                self._note_other_target(detector, now_ms)
         elif refusal.reason in LOST_REASONS:
             detector.note_lost(dispatch, now_ms)
             self._probe_soon(detector)
         else:
             detector.note_abandoned(dispatch, now_ms)
 
+    def _note_other_target(self, detector, now_ms):
+        """Send no calls for a while to an address that another target has."""
+        if self._local_target.crash_detector is detector:
+            target_id = self._local_target.info.target_id
+            _LOG.warning("another target has the address", target=target_id)
+            self._local_target.note_unreachable(now_ms)
+
     def _probe_soon(self, detector):
         """Find out whether the target still runs, unless calls show it before."""
         if not self._is_probing:
