Count repeats against the retry budget until a window after they have ended

What callers saw: none; the targets of a service got more repeats in ten seconds than the deployment allows. Cause: the budget limits arrivals at targets, and a node counted a repeat at the time at which it granted it. Repeats granted over eight seconds and held up at frozen nodes arrived together with those of the ten seconds after.

A repeat now counts from its grant until a window after its end: what arrives within a window has ended after the window's start, so all of it counts at each later grant. A repeat that no target has received (a full queue, a node that is stopping) is given back.

Ruled out: counting at the node beside the target, in proportion to its first arrivals.

--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -19,6 +19,7 @@
 from gentianlink.sidecar.routing.call_progress import (
     REASONS_SHED_BY_TARGET,
     CallProgress,
+    has_reached_target,
 )
 from gentianlink.sidecar.routing.data_centre_loads import DataCentreLoads
 from gentianlink.sidecar.routing.expected_time import CallObjective
@@ -172,7 +173,9 @@
                 rollout_call.note_attempt()
             hop = self._make_hop(choice, rule, now_ms - started_ms, progress.sent)
             self._note_choice(call, rule, choice)
-            buffer, refusal = await self._attempt(call, rule, choice, hop, writer)
+            buffer, refusal = await self._attempt(
+                call, rule, service, choice, hop, writer
+            )
             if refusal is None:
                 if not _is_retryable_failure(rule, buffer, writer):
                     return buffer, None
@@ -280,15 +283,22 @@
             attempt=sent + 1,
         )
 
-    async def _attempt(self, call, rule, choice, hop, writer):
+    async def _attempt(self, call, rule, service, choice, hop, writer):
         candidate = choice.candidate
+        has_arrived = True
         self._load_view.begin(candidate.node_id)
         try:
             if candidate.is_own:
-                return await self._runner.run(call, hop, writer, _keep_headers)
-            return await self._forward(call, rule, candidate, hop, writer)
+                result = await self._runner.run(call, hop, writer, _keep_headers)
+            else:
+                result = await self._forward(call, rule, candidate, hop, writer)
+            refusal = result[1]
+            has_arrived = refusal is None or has_reached_target(refusal)
+            return result
         finally:
             self._load_view.end(candidate.node_id)
+            if hop.is_repeat:
+                self._retries.end(service, has_arrived, get_monotonic_ms())
 
     async def _forward(self, call, rule, candidate, hop, writer):
         record = self._directory.get(candidate.node_id)
--- a/packages/sidecar/src/gentianlink/sidecar/retry_share.py
+++ b/packages/sidecar/src/gentianlink/sidecar/retries/retry_share.py
@@ -5,6 +5,10 @@
 spends the ratio of the calls that it has seen itself, and an equal part of the
 constant, so the shares of all nodes add up to the budget without any exchange of
 messages.
+
+The budget limits arrivals at targets, and a repeat may be on its way for long: in a
+queue, at a slow node, or at one that is frozen. It counts from the time at which it is
+granted until a window after it has ended, so that it counts whenever it arrives.
 """
 
 import collections
@@ -40,7 +44,9 @@
         self._bounds = bounds
         self._started_ms = started_ms
         self._calls = collections.defaultdict(collections.deque)
-        self._retries = collections.defaultdict(collections.deque)
+        # Repeats that have not ended, and the times at which others have.
+        self._pending = collections.Counter()
+        self._ended = collections.defaultdict(collections.deque)
 
     def record_call(self, service, now_ms):
         """Count the arrival of a call to a service.
@@ -57,7 +63,7 @@
         calls.append(now_ms)
 
     def try_take(self, service, nodes, has_run, is_caller_retry, now_ms):
-        """Spend one retry of this node's share, if one is left.
+        """Begin a repeat if this node's share has room; :meth:`end` must follow.
 
         Parameters
         ----------
@@ -75,20 +81,53 @@
         Returns
         -------
         bool
-            Whether the retry may be made.
+            Whether the repeat may be made.
         """
         calls = self._calls[service]
-        retries = self._retries[service]
         self._drop_expired(calls, now_ms)
-        self._drop_expired(retries, now_ms)
         allowance = self._compute_allowance(len(calls), nodes, has_run, now_ms)
         if not is_caller_retry:
             allowance *= FIRST_ATTEMPT_SHARE
-        if len(retries) + 1 > allowance:
+        if self.count_repeats(service, now_ms) + 1 > allowance:
             return False
-        retries.append(now_ms)
+        self._pending[service] += 1
         return True
 
+    def end(self, service, has_arrived, now_ms):
+        """Record the end of a repeat.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        has_arrived : bool
+            Whether a target has received it, or may have.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        self._pending[service] -= 1
+        if has_arrived:
+            self._ended[service].append(now_ms)
+
+    def count_repeats(self, service, now_ms):
+        """Return the number of repeats that count against this node's share.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        int
+            Repeats that have not ended, or have within the window.
+        """
+        ended = self._ended[service]
+        self._drop_expired(ended, now_ms)
+        return self._pending[service] + len(ended)
+
     def _compute_allowance(self, calls, nodes, has_run, now_ms):
         bounds = self._bounds
         # A restarted process does not know how many retries it has spent, so its part
--- a/packages/sidecar/src/gentianlink/sidecar/retries/test_retry_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/retries/test_retry_model.py
@@ -19,6 +19,12 @@
     "series of kills": RetryScenario(
         kills_s=tuple(15.0 + 2 * number for number in range(10))
     ),
+    "kills after sheds have begun": RetryScenario(
+        shed_share=0.9,
+        sheds_from_s=20.0,
+        caller_retry_share=1.0,
+        kills_s=(21.5, 23.0, 25.0, 27.0, 29.0),
+    ),
     "kills while cut off": RetryScenario(
         kills_s=(12.0, 13.0, 30.0), cut_s=(11.0, 40.0), per_s=20.0
     ),
--- a/packages/sidecar/src/gentianlink/sidecar/routing/call_progress.py
+++ b/packages/sidecar/src/gentianlink/sidecar/routing/call_progress.py
@@ -41,6 +41,12 @@
 FINAL_REASONS = (Reason.DEADLINE_PASSED, Reason.CRASHES_TARGETS)
 
 
+def has_reached_target(refusal):
+    """Return whether a target has received a refused attempt, or may have."""
+    is_unknown = refusal.outcome is not Outcome.NOT_RUN
+    return is_unknown or refusal.reason in REASONS_SHED_BY_TARGET
+
+
 class CallProgress:
     """Outcomes of the attempts of one call, from which the next target is chosen.
 
@@ -167,9 +173,7 @@
         is_overloaded = refusal.reason is Reason.OVERLOADED
         is_full = is_overloaded and not choice.may_wait
         (self._full_ids if is_full else self._tried_ids).add(choice.candidate.target_id)
-        is_unknown = refusal.outcome is not Outcome.NOT_RUN
-        if is_unknown or refusal.reason in REASONS_SHED_BY_TARGET:
-            self._sent += 1
+        self._sent += has_reached_target(refusal)
         if choice.may_wait and is_overloaded:
             self._refused_wait_ms = wait_ms
             self._wait_refusals += 1
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -34,7 +34,7 @@
 from gentianlink.sidecar.quarantine_rows import QuarantineRows
 from gentianlink.sidecar.reader_selector import ReaderSelector
 from gentianlink.sidecar.retries.arrival_window import ArrivalWindow
-from gentianlink.sidecar.retry_share import RetryShare
+from gentianlink.sidecar.retries.retry_share import RetryShare
 from gentianlink.sidecar.rollout.rollouts import TURN_S, Rollouts
 from gentianlink.sidecar.routing.load_view import LoadView
 from gentianlink.sidecar.rule_feed import RuleFeed
