Spend half of the retry budget's ratio, and nothing of its constant before others are known

What callers saw: none; more repeats than allowed in ten seconds around kills of many processes. Cause: a process that starts has forgotten what the former one has spent, and after a shed a node spent three quarters of the ratio; one that knew no other node took the whole constant for its part.

With half of the ratio two windows of one node's calls, or a process and the next one, stay within the budget whatever the order of calls, sheds and kills. Whether an earlier attempt was shed or run makes no difference any more, as its repeat makes calls either way. The metric gentianlink_repeats_allowed shows each node's part.

--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -46,6 +46,7 @@
     "buffered_body_bytes": "Bytes of large bodies that are arriving.",
     "pipelined_bytes": "Bytes of pipelined requests and of answers in line.",
     "arrivals_in_window": "Calls sent to the own target within the budget's window.",
+    "repeats_allowed": "Repeats of calls that began at this node, by service.",
     "gate_in_flight": "Calls that the target executes.",
     "gate_waiting": "Calls that wait for a slot.",
     "target_work_ms": "Typical time of the own target by rule, as published.",
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -16,11 +16,7 @@
 from gentianlink.platform import wire
 from gentianlink.sidecar.answer_buffer import AnswerBuffer
 from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop, parse_result
-from gentianlink.sidecar.routing.call_progress import (
-    REASONS_SHED_BY_TARGET,
-    CallProgress,
-    has_reached_target,
-)
+from gentianlink.sidecar.routing.call_progress import CallProgress, has_reached_target
 from gentianlink.sidecar.routing.data_centre_loads import DataCentreLoads
 from gentianlink.sidecar.routing.expected_time import CallObjective
 from gentianlink.sidecar.routing.timed_choice import CallTerms
@@ -247,10 +243,7 @@
         if self._guard.is_suspect(call):
             self._log_retry("suspect not repeated", call, rule, progress)
             return False
-        has_run = progress.refusal.reason not in REASONS_SHED_BY_TARGET
-        is_granted = self._retries.try_take(
-            service, self._directory.count, has_run, is_caller_retry, now_ms
-        )
+        is_granted = self._retries.try_take(service, is_caller_retry, now_ms)
         self._metrics.count(
             "retries_total", service=service, granted=str(is_granted).lower()
         )
--- a/packages/sidecar/src/gentianlink/sidecar/retries/retry_share.py
+++ b/packages/sidecar/src/gentianlink/sidecar/retries/retry_share.py
@@ -13,15 +13,14 @@
 
 import collections
 
-# Share of the ratio that a node spends, by whether an earlier attempt may have run. The
-# calls that a target makes for a repeated call count as repeats at the services called,
-# so a part of each budget is left for them. A target that has shed a call often sheds
-# the next one too, and a call that was not run makes no calls.
-RATIO_SHARE_AFTER_RUN = 0.5
-RATIO_SHARE_AFTER_SHED = 0.75
-# Share of the constant that a node spends; the rest covers nodes that restart and lose
-# their count of retries. Where a deployment allows a large constant, spending half of
-# it sent more calls to targets that were overloaded than it saved.
+# Share of the ratio that a node spends. A process that restarts has forgotten the
+# repeats of the former one, and the calls of its window may lie in two windows of the
+# budget, so that one window may have twice the repeats of a share. What is left also
+# covers the calls that targets make for repeats, which count at the services called.
+RATIO_SHARE = 0.5
+# Share of the constant that a node spends; the rest covers nodes that restart. Where a
+# deployment allows a large constant, spending half of it sent more calls to overloaded
+# targets than it saved.
 EXTRA_SHARE = 0.2
 # Share of the allowance that is open to first attempts of callers. The rest is reserved
 # for callers that are retrying already: a caller at its first attempt can still retry,
@@ -36,18 +35,27 @@
     ----------
     bounds : Bounds
         Retry budget of the deployment.
+    count_nodes : callable
+        Returns the number of nodes that share the constant, 0 while the other nodes are
+        not known.
     started_ms : float
         Start of this process on the monotonic clock in milliseconds.
     """
 
-    def __init__(self, bounds, started_ms):
+    def __init__(self, bounds, count_nodes, started_ms):
         self._bounds = bounds
+        self._count_nodes = count_nodes
         self._started_ms = started_ms
         self._calls = collections.defaultdict(collections.deque)
         # Repeats that have not ended, and the times at which others have.
         self._pending = collections.Counter()
         self._ended = collections.defaultdict(collections.deque)
 
+    @property
+    def services(self):
+        """Names of the services that calls have arrived for, in order."""
+        return sorted(self._calls)
+
     def record_call(self, service, now_ms):
         """Count the arrival of a call to a service.
 
@@ -62,17 +70,13 @@
         self._drop_expired(calls, now_ms)
         calls.append(now_ms)
 
-    def try_take(self, service, nodes, has_run, is_caller_retry, now_ms):
+    def try_take(self, service, is_caller_retry, now_ms):
         """Begin a repeat if this node's share has room; :meth:`end` must follow.
 
         Parameters
         ----------
         service : str
             Name of the service.
-        nodes : int
-            Number of nodes that share the budget.
-        has_run : bool
-            Whether a target may have executed an earlier attempt.
         is_caller_retry : bool
             Whether the call is probably a retry by its caller after a refusal.
         now_ms : float
@@ -83,9 +87,7 @@
         bool
             Whether the repeat may be made.
         """
-        calls = self._calls[service]
-        self._drop_expired(calls, now_ms)
-        allowance = self._compute_allowance(len(calls), nodes, has_run, now_ms)
+        allowance = self.compute_allowance(service, now_ms)
         if not is_caller_retry:
             allowance *= FIRST_ATTEMPT_SHARE
         if self.count_repeats(service, now_ms) + 1 > allowance:
@@ -128,14 +130,29 @@
         self._drop_expired(ended, now_ms)
         return self._pending[service] + len(ended)
 
-    def _compute_allowance(self, calls, nodes, has_run, now_ms):
+    def compute_allowance(self, service, now_ms):
+        """Return the number of repeats that may count against this node's share.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+
+        Returns
+        -------
+        float
+            Repeats of callers that retry; others may use `FIRST_ATTEMPT_SHARE` of it.
+        """
         bounds = self._bounds
-        # A restarted process does not know how many retries it has spent, so its part
-        # of the constant grows from 0 over one window.
+        calls = self._calls[service]
+        self._drop_expired(calls, now_ms)
+        nodes = self._count_nodes()
+        # The part of the constant grows from 0 over one window from the start.
         age_share = min(1.0, (now_ms - self._started_ms) / bounds.retry_window_ms)
-        extra = EXTRA_SHARE * bounds.retry_extra / max(1, nodes) * age_share
-        ratio_share = RATIO_SHARE_AFTER_RUN if has_run else RATIO_SHARE_AFTER_SHED
-        return ratio_share * bounds.retry_ratio * calls + extra
+        extra = bounds.retry_extra / nodes * age_share if nodes else 0.0
+        return RATIO_SHARE * bounds.retry_ratio * len(calls) + EXTRA_SHARE * extra
 
     def _drop_expired(self, times, now_ms):
         start_ms = now_ms - self._bounds.retry_window_ms
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -162,7 +162,9 @@
             make_get_flow(lambda: self._holder.rules),
             node.link_mbps,
         )
-        self._retries = RetryShare(settings.bounds, get_monotonic_ms())
+        self._retries = RetryShare(
+            settings.bounds, self._count_known_nodes, get_monotonic_ms()
+        )
         self._router = CallRouter(
             self._directory,
             self._runner,
@@ -182,7 +184,7 @@
             self._datagrams,
             self._get_tenant,
             settings.bounds,
-            lambda: self._rows.is_loaded or self._directory.count > 1,
+            self._knows_others,
             self._note_silent,
             self._exchange.probe,
             self._metrics,
@@ -243,6 +245,12 @@
         )
         self._exchange.probe(record)
 
+    def _knows_others(self):
+        return self._rows.is_loaded or self._directory.count > 1
+
+    def _count_known_nodes(self):
+        return self._directory.count if self._knows_others() else 0
+
     def _load_row(self, record):
         own = self._directory.own
         if record.node_id != own.node_id:
@@ -385,6 +393,10 @@
             "feed_call_seconds": self._feed.compute_call_age_ms(now_ms) / 1000,
             "pipelined_bytes": self._caller_server.pipelined_bytes,
             "arrivals_in_window": self._list_arrival_gauges(now_ms),
+            "repeats_allowed": [
+                ({"service": service}, self._retries.compute_allowance(service, now_ms))
+                for service in self._retries.services
+            ],
             "gate_in_flight": self._local_target.gate.in_flight,
             "gate_waiting": self._local_target.gate.waiting,
             "target_work_ms": self._list_work_gauges(),
--- a/packages/testing/src/gentianlink/testing/retry_model.py
+++ b/packages/testing/src/gentianlink/testing/retry_model.py
@@ -174,9 +174,10 @@
         """Start all processes anew."""
         scenario = self._scenario
         self.life += 1
-        self._known = 2 if is_cut else scenario.nodes
+        known = 2 if is_cut else scenario.nodes
         self._shares = [
-            RetryShare(scenario.bounds, now_ms) for _ in range(scenario.nodes)
+            RetryShare(scenario.bounds, lambda: known, now_ms)
+            for _ in range(scenario.nodes)
         ]
 
     def begin(self, call, now_ms):
@@ -186,7 +187,7 @@
     def may_send(self, call, now_ms):
         """Return whether the node where a call began sends it again."""
         share = self._shares[call.node]
-        return share.try_take(SERVICE, self._known, False, call.is_caller_retry, now_ms)
+        return share.try_take(SERVICE, call.is_caller_retry, now_ms)
 
     def end(self, call, life, now_ms):
         """Record the end of a repeat, if its node still is the process of that time."""
