Don't use a connection again after an answer that names no request

What callers saw: of a target that writes a refusal twice, 503 'not run' for a later call that the target executed, or a second execution at another target. Cause: a refusal has no request id; its late copy was read as the answer to the next call on the connection. The same between nodes, where refusals had no id and relayed answers' ids were not compared, in the answers about fences, and in gentianlink-node.

A connection that has carried an answer without an id is closed after it, so that no later call can meet a copy. Refusals of nodes and answers about fences name their request; an answer of a node that names another request is skipped. A node of the former release gets and gives refusals as before, at the cost of a connection each; its answers about fences are not believed, and such calls end with an unknown outcome in place of not run.

Not covered: a second copy of a 200 in gentianlink-node, whose answers have no id at all.

--- a/packages/node/src/gentianlink/node/proxy/answer_relay.py
+++ b/packages/node/src/gentianlink/node/proxy/answer_relay.py
@@ -65,6 +65,15 @@
         """Whether the answer is unframed: its end looks like a lost connection."""
         return not self._has_length
 
+    @property
+    def is_keep_alive(self):
+        """Whether the connection may be used for another exchange.
+
+        After a refusal it may not: a late copy of it could not be told from a refusal
+        of the next call.
+        """
+        return super().is_keep_alive and self._refusal is None
+
     @property
     def refusal(self):
         """Refusal received in place of a result; None if the target ran the call."""
--- a/packages/node/src/gentianlink/node/proxy/request_server.py
+++ b/packages/node/src/gentianlink/node/proxy/request_server.py
@@ -209,7 +209,7 @@
         await reader.discard_body()
         if self._is_stopping:
             reader.connection.close_after_answer()
-        await self.write_refusal(writer, refusal)
+        await self.write_refusal(reader, writer, refusal)
 
     def note_early_refusal(self, reader, refusal):
         """Take note of a call that is refused while its body arrives."""
@@ -221,7 +221,7 @@
     def count(self, reader, refusal):
         """Count a finished call; the base class counts nothing."""
 
-    async def write_refusal(self, writer, refusal):
+    async def write_refusal(self, reader, writer, refusal):
         """Write a refusal as the answer of a call."""
         await writer.refuse(refusal)
 
--- a/packages/node/src/gentianlink/node/proxy/test_exchange.py
+++ b/packages/node/src/gentianlink/node/proxy/test_exchange.py
@@ -48,6 +48,30 @@
 
         assert tools.run(test) == ((504, "unknown", "deadline-passed"), b"/x/2")
 
+    # Guards against taking the second copy of a refusal for a refusal of the next call.
+    def test_refusal_that_is_written_twice_does_not_refuse_the_next_call(self, tools):
+        async def test(bench):
+            refusal = (
+                b"HTTP/1.1 503 Busy\r\nX-Gentianlink-Outcome: not-run\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+            async def script(reader, writer, number):
+                await tools.read_request(reader)
+                if number > 1:
+                    writer.write(tools.make_answer(b"done"))
+                else:
+                    writer.write(refusal)
+                    await tools.read_request(reader)
+                    writer.write(refusal)
+                await reader.read()
+
+            caller = await tools.caller.connect(await bench.start_simple(script))
+            first = await caller.get("/x/1")
+            return get_result(first)[:2], (await caller.get("/x/2"))[2]
+
+        assert tools.run(test) == ((503, "not-run"), b"done")
+
     @pytest.mark.parametrize("is_at_once", [True, False])
     @pytest.mark.proves("own-answer", "reordered", "dispatch")
     def test_second_answer_to_one_request_is_not_relayed(self, tools, is_at_once):
--- a/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
@@ -7,6 +7,7 @@
     STATUSES_WITHOUT_BODY,
     RelayedAnswer,
 )
+from gentianlink.platform import wire
 
 # Answers up to this size are relayed only once complete, so that the call can be
 # retried if the answer is cut off.
@@ -60,6 +61,15 @@
         """Whether the headers show that the answer can't be from a target or node."""
         return self._verdict is not None and self._verdict.is_bad
 
+    @property
+    def is_keep_alive(self):
+        """Whether the connection may be used for another exchange.
+
+        After an answer that names no request it may not: a late copy of that answer
+        could not be told from the answer to the next call.
+        """
+        return super().is_keep_alive and wire.REQUEST_ID in self._headers
+
     @property
     def ends_with_connection(self):
         """Whether the answer is delimited only by the end of its connection."""
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -22,7 +22,7 @@
 from gentianlink.sidecar.routing.timed_choice import CallTerms
 from gentianlink.sidecar.send_call import send_call
 from gentianlink.sidecar.status import STALE_STATE_RETRY_MS, STATUS_SERVER_ERROR
-from gentianlink.sidecar.verdict import ANSWER, BAD, Verdict
+from gentianlink.sidecar.verdict import ANSWER, BAD, FOREIGN, Verdict
 
 _LOG = get_logger("router")
 
@@ -314,7 +314,7 @@
         call.headers[HOP_HEADER] = format_hop(hop)
         buffer = AnswerBuffer(
             writer,
-            self._make_classifier(candidate),
+            self._make_classifier(candidate, call.headers.get(wire.REQUEST_ID, "")),
             _drop_hop_header,
             call.method == "HEAD",
         )
@@ -354,10 +354,12 @@
             refusal, outcome=Outcome.NOT_RUN, retry_after_ms=STALE_STATE_RETRY_MS
         )
 
-    def _make_classifier(self, candidate):
+    def _make_classifier(self, candidate, request_id):
         node_id = candidate.node_id
 
         def classify(status, headers):
+            if headers.get(wire.REQUEST_ID, request_id) != request_id:
+                return FOREIGN
             value = headers.get(HOP_HEADER)
             if value is None:
                 return BAD
--- a/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
@@ -231,7 +231,7 @@
             retry_after_ms=0 if refusal is None else refusal.retry_after_ms,
         )
 
-    async def write_refusal(self, writer, refusal):
+    async def write_refusal(self, reader, writer, refusal):
         """Answer with the status and reason of a refusal, and when to retry."""
         extra = {}
         if refusal.retry_after_ms:
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
@@ -97,4 +97,4 @@
         request_id, get_monotonic_ms()
     )
     _LOG.info("fence requested", id=request_id, is_fenced=is_fenced)
-    return Reply(body=orjson.dumps(is_fenced))
+    return Reply(body=orjson.dumps({"id": request_id, "is_fenced": is_fenced}))
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
@@ -139,4 +139,13 @@
         except PlatformError as error:
             _LOG.info("fence unanswered", id=request_id, peer=node_id, why=str(error))
             return False
-        return answer.code == STATUS_OK and answer.body == b"true"
+        return answer.code == STATUS_OK and _is_fenced(answer.body, request_id)
+
+
+def _is_fenced(body, request_id):
+    """Return whether an answer says that a call is fenced; it must name the call."""
+    try:
+        answer = orjson.loads(body)
+    except ValueError:
+        return False
+    return answer == {"id": request_id, "is_fenced": True}
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -4,6 +4,7 @@
 from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
+from gentianlink.platform import wire
 from gentianlink.sidecar.call_reader import (
     WHOLE_BODY_BYTES,
     SidecarCallReader,
@@ -67,7 +68,9 @@
     def _format_result(self, refusal):
         return format_result(refusal, self._get_load(), self._holder.version)
 
-    async def write_refusal(self, writer, refusal):
+    async def write_refusal(self, reader, writer, refusal):
         """Send the refusal to the node that forwarded the call."""
-        value = self._format_result(refusal)
-        await writer.write_whole(STATUS_UNAVAILABLE, {HOP_HEADER: value}, "")
+        headers = {HOP_HEADER: self._format_result(refusal)}
+        if reader.request_id:
+            headers[wire.REQUEST_ID] = reader.request_id
+        await writer.write_whole(STATUS_UNAVAILABLE, headers, "")
