Take calls during a stop only if they end within the grace period

What callers saw: in a planned stop, calls that were taken late and passed on were cut off without an answer at the end of the grace period, also ones that may not be repeated. Cause: a stopping node took calls for three seconds whatever the grace period and the time that a call may take; nodes beside targets took calls of other nodes the same way.

One that may not be repeated is taken only if its time limit ends before the calls of the process do; one that may be repeated if its target latency and the typical times of its targets fit, and it gets that end as its deadline, so that it is answered in any case. Others are refused at once as not run. A call of another node is taken only if its limit fits, as that node can send it to another target.

--- a/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
@@ -48,13 +48,28 @@
         Keeps the limits of tenants.
     metrics : CallMetrics
         Counts calls and records their durations.
+    stop_plan : StopPlan
+        Says which calls are taken while the process stops.
+    get_work_ms : callable
+        Takes the name of a rule; returns its typical time in milliseconds, 0 if
+        unknown.
     """
 
     reader_type = PipelinedReader
     stream_type = PipelinedStream
     writer_type = OrderedWriter
 
-    def __init__(self, get_rules, splitter, router, service, quota, metrics):
+    def __init__(
+        self,
+        get_rules,
+        splitter,
+        router,
+        service,
+        quota,
+        metrics,
+        stop_plan,
+        get_work_ms,
+    ):
         super().__init__()
         self._get_rules = get_rules
         self._splitter = splitter
@@ -62,6 +77,8 @@
         self._service = service
         self._quota = quota
         self._metrics = metrics
+        self._stop_plan = stop_plan
+        self._get_work_ms = get_work_ms
         self._retry_estimator = CallerRetryEstimator()
         self._is_closing = False
         self._is_refusing = False
@@ -156,6 +173,11 @@
             # Only after a change of the rules is this not the first request already.
             reader.request.blocks_later = True
             await writer.wait_turn()
+        deadline_ms, caller_deadline_ms = self._compute_deadlines(reader, rule)
+        if not self._may_take(rule, deadline_ms, get_monotonic_ms()):
+            return self._refuse(reader, Reason.DRAINING, NOT_READY_RETRY_MS)
+        # The caller gets an answer also if the call takes longer than was likely.
+        deadline_ms = min(deadline_ms, self._stop_plan.end_ms)
         tenant, refusal = authenticate(rules, rule, reader.headers)
         if refusal is None and tenant is not None and tenant.is_limited:
             refusal = await self._quota.take(tenant, get_monotonic_ms())
@@ -163,12 +185,7 @@
             return self._refuse(reader, refusal.reason, refusal.retry_after_ms, tenant)
         if tenant is not None and tenant.priority is not None:
             rule = attrs.evolve(rule, priority=tenant.priority)
-        deadline_ms = reader.started_ms + rule.timeout_ms
-        caller_deadline_ms = 0.0
         allowed_ms = parse_deadline_ms(reader.headers)
-        if allowed_ms is not None:
-            caller_deadline_ms = reader.started_ms + allowed_ms
-            deadline_ms = min(deadline_ms, caller_deadline_ms)
         call = reader.make_bounded_call(deadline_ms, caller_deadline_ms)
         call.headers.pop(HOP_HEADER, None)
         call.headers[wire.CALLING_SERVICE] = self._service
@@ -187,6 +204,24 @@
         self._record_call(reader, rule, service, rules.version, elapsed_ms, refusal)
         return refusal
 
+    def _compute_deadlines(self, reader, rule):
+        """Return the deadlines of a call and of its caller, 0 if that is unknown."""
+        deadline_ms = reader.started_ms + rule.timeout_ms
+        caller_deadline_ms = 0.0
+        allowed_ms = parse_deadline_ms(reader.headers)
+        if allowed_ms is not None:
+            caller_deadline_ms = reader.started_ms + allowed_ms
+            deadline_ms = min(deadline_ms, caller_deadline_ms)
+        return deadline_ms, caller_deadline_ms
+
+    def _may_take(self, rule, deadline_ms, now_ms):
+        if not self._stop_plan.is_stopping:
+            return True
+        likely_ms = max(rule.target_latency_ms, self._get_work_ms(rule.name))
+        return self._stop_plan.may_take(
+            deadline_ms - now_ms, likely_ms, rule.is_repeatable, now_ms
+        )
+
     def _refuse(self, reader, reason, retry_after_ms, tenant=None):
         refusal = Refusal(reason, retry_after_ms=retry_after_ms)
         self._note_unrouted(reader, refusal, tenant)
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -2,6 +2,7 @@
 
 from gentianlink.core.reason import Reason
 from gentianlink.core.rule_set import UNLIMITED_BYTES
+from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.node.proxy.request_server import RequestServer
 from gentianlink.platform import wire
@@ -30,17 +31,20 @@
         force there.
     incarnation : int
         Incarnation of this node.
+    stop_plan : StopPlan
+        Says which calls are taken while the process stops.
     """
 
     reader_type = SidecarCallReader
 
-    def __init__(self, runner, get_load, holder, on_version, incarnation):
+    def __init__(self, runner, get_load, holder, on_version, incarnation, stop_plan):
         super().__init__()
         self._runner = runner
         self._get_load = get_load
         self._holder = holder
         self._on_version = on_version
         self._incarnation = incarnation
+        self._stop_plan = stop_plan
 
     def check(self, reader):
         """Accept a body of any size: the other node has checked it."""
@@ -55,6 +59,11 @@
         self._on_version(reader.remote_address, hop.version)
         if hop.incarnation != self._incarnation:
             return Refusal(Reason.WRONG_NODE, retry_after_ms=STALE_STATE_RETRY_MS)
+        now_ms = get_monotonic_ms()
+        limit_ms = reader.started_ms + remaining_ms - now_ms
+        # The other node can send any call to another target.
+        if not self._stop_plan.may_take(limit_ms, limit_ms, False, now_ms):
+            return Refusal(Reason.DRAINING, retry_after_ms=STALE_STATE_RETRY_MS)
         call = reader.make_bounded_call(reader.started_ms + remaining_ms)
         del call.headers[HOP_HEADER]
         buffer, refusal = await self._runner.run(call, hop, writer, self._add_result)
--- a/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_directory.py
@@ -293,6 +293,25 @@
         """Return the newest catalogue version that another node has in force."""
         return self._newest_version
 
+    def get_work_ms(self, rule_name):
+        """Return the typical time of a rule at the slowest target in milliseconds.
+
+        Parameters
+        ----------
+        rule_name : str
+            Name of the rule.
+
+        Returns
+        -------
+        int
+            Longest of the published times, 0 if there is none.
+        """
+        records = (self._own, *self.get_records())
+        targets = [record.target for record in records if record.target is not None]
+        return max(
+            (dict(item.work_ms).get(rule_name, 0) for item in targets), default=0
+        )
+
     def get_holders(self, version):
         """Return the nodes that have a version in force, own data centre first.
 
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -40,6 +40,7 @@
 from gentianlink.sidecar.rule_feed import RuleFeed
 from gentianlink.sidecar.rule_holder import RuleHolder
 from gentianlink.sidecar.splitter import Splitter
+from gentianlink.sidecar.stop_plan import StopPlan
 from gentianlink.sidecar.target_runner import TargetRunner
 from gentianlink.sidecar.tenants.quota_gate import QuotaGate
 from gentianlink.sidecar.tenants.tenant_flows import make_get_flow
@@ -54,13 +55,8 @@
 VERSION_CHECK_S = 0.1
 # Reading and writing the rows takes about ten milliseconds on a healthy platform.
 MAX_ROWS_WAIT_S = 0.5
-# Callers poll readiness once a second and need two answers to stop using a node.
-STOP_ACCEPTING_S = 3.0
-# Share of the grace period between the request to stop and the kill that is reserved
-# for the last writes and the end of all tasks. A call that is still executing in the
-# last sixth of the grace period may be abandoned.
-STOP_RESERVE_SHARE = 0.125
 STOP_CHECK_S = 0.05
+MS_PER_S = 1000
 # Closing takes longer only if the other end of a connection is gone.
 CLOSE_S = 0.2
 
@@ -84,6 +80,7 @@
         self._limiter = limiter
         self._metrics = CallMetrics()
         self._is_stopping = False
+        self._stop_plan = StopPlan(settings.bounds.grace_ms)
         self._tasks = []
         self._endpoints = []
         node = settings.node
@@ -197,6 +194,8 @@
             settings.target.service,
             self._quota,
             self._metrics,
+            self._stop_plan,
+            self._directory.get_work_ms,
         )
         self._forward_server = ForwardServer(
             self._runner,
@@ -204,6 +203,7 @@
             self._holder,
             self._directory.note_version,
             own.incarnation,
+            self._stop_plan,
         )
 
     @classmethod
@@ -331,15 +331,14 @@
 
     async def _stop(self):
         _LOG.info("stopping", in_flight=self._in_flight)
-        started_s = get_monotonic_ms() / 1000
+        self._stop_plan.begin(get_monotonic_ms())
         self._is_stopping = True
         self._publish()
         self._caller_server.close_connections_after_answers()
-        grace_s = self._settings.bounds.grace_ms / 1000 * (1 - STOP_RESERVE_SHARE)
-        await asyncio.sleep(min(STOP_ACCEPTING_S, grace_s))
+        await asyncio.sleep(self._stop_plan.accept_ms / MS_PER_S)
         self._caller_server.refuse_new_calls()
         self._local_target.gate.close(Reason.DRAINING)
-        while self._in_flight and get_monotonic_ms() / 1000 - started_s < grace_s:
+        while self._in_flight and get_monotonic_ms() < self._stop_plan.end_ms:
             await asyncio.sleep(STOP_CHECK_S)
         _LOG.info("stopped", in_flight=self._in_flight)
         await self.close()
