Move the load of a target out of the routing folder

Admission and the exchange of state use it as well, and imports between the folders of the sidecar go one way: routing uses admission.

--- a/packages/sidecar/src/gentianlink/sidecar/admission/priority_gate.py
+++ b/packages/sidecar/src/gentianlink/sidecar/admission/priority_gate.py
@@ -21,7 +21,7 @@
     compute_retry_after_ms,
     compute_wait_ms,
 )
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 
 # Weight of the newest call in the EWMA of execution times.
 MEAN_WEIGHT = 0.1
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
@@ -20,8 +20,8 @@
 from gentianlink.sidecar.exchange.peer_message import LostNode, PeerMessage
 from gentianlink.sidecar.exchange.record_digest import BUCKETS
 from gentianlink.sidecar.peer_record import PeerRecord
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 
 _LOG = get_logger("peers")
 
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_message.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_message.py
@@ -4,7 +4,7 @@
 
 from gentianlink.core.rollout import RolloutState
 from gentianlink.sidecar.peer_record import PeerRecord
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 
 
 @attrs.frozen
--- a/packages/sidecar/src/gentianlink/sidecar/hop.py
+++ b/packages/sidecar/src/gentianlink/sidecar/hop.py
@@ -11,7 +11,7 @@
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
 from gentianlink.node.proxy.refusal import Refusal
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 
 HOP_HEADER = "Gl-Hop"
 _MAY_WAIT = "w"
--- a/packages/sidecar/src/gentianlink/sidecar/routing/load_view.py
+++ b/packages/sidecar/src/gentianlink/sidecar/routing/load_view.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 
 # The weight of a load report falls linearly to 0 at this age in milliseconds.
 REPORT_LIFETIME_MS = 1500
--- a/packages/sidecar/src/gentianlink/sidecar/routing/test_timed_choice.py
+++ b/packages/sidecar/src/gentianlink/sidecar/routing/test_timed_choice.py
@@ -9,7 +9,6 @@
 from gentianlink.sidecar.routing.data_centre_loads import SHORT_STREAK, DataCentreLoads
 from gentianlink.sidecar.routing.expected_time import CallObjective, compute_loss_ms
 from gentianlink.sidecar.routing.leaving import compute_leave_share
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.routing.timed_choice import (
     TRIAL,
     CallTerms,
@@ -21,6 +20,7 @@
     MAX_RULES,
     WorkEstimator,
 )
+from gentianlink.sidecar.target_load import TargetLoad
 
 OBJECTIVE = CallObjective("read", 806.0, 806.0)
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_answers_cut_off.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_answers_cut_off.py
@@ -5,7 +5,7 @@
 from gentianlink.platform import wire
 from gentianlink.sidecar.answer_buffer import BUFFER_BYTES
 from gentianlink.sidecar.hop import HOP_HEADER, format_result
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.scripted_target import ScriptedTarget, make_answer
 from gentianlink.testing.sidecar_world import DEADLINE_MS, HOST, SidecarWorld
--- a/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_decisions.py
@@ -37,9 +37,9 @@
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.routing.choose import MAX_FULL, Candidate, choose_target
 from gentianlink.sidecar.routing.load_view import LoadView
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.splitter import Splitter
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 
 SERVICE = "inquiry"
 BOUNDS = Bounds(
--- a/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -29,8 +29,8 @@
 from gentianlink.sidecar.exchange.record_digest import BUCKETS
 from gentianlink.sidecar.peer_directory import FORGET_MS, TOMBSTONE_MS, PeerDirectory
 from gentianlink.sidecar.peer_record import PeerRecord
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.membership_model import (
     measure_change,
     measure_loss,
--- a/packages/sidecar/src/gentianlink/sidecar/test_outlier_detector.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_outlier_detector.py
@@ -15,8 +15,8 @@
 from gentianlink.sidecar.peer_directory import PeerDirectory
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.routing.load_view import LoadView
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 
 SERVICE = "inquiry"
 # Time between two outcomes in milliseconds.
--- a/packages/sidecar/src/gentianlink/sidecar/test_refusal_sent_twice.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_refusal_sent_twice.py
@@ -7,7 +7,7 @@
 from gentianlink.node.proxy.refusal import Refusal
 from gentianlink.platform import wire
 from gentianlink.sidecar.hop import HOP_HEADER, format_result
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.scripted_target import (
     ScriptedTarget,
--- a/packages/testing/src/gentianlink/testing/choice_cost.py
+++ b/packages/testing/src/gentianlink/testing/choice_cost.py
@@ -14,9 +14,9 @@
 from gentianlink.sidecar.routing.call_progress import CallProgress
 from gentianlink.sidecar.routing.expected_time import CallObjective
 from gentianlink.sidecar.routing.load_view import LoadView
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.routing.timed_choice import CallTerms
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 
 SIZES = 10, 53, 500
 REPEATS = 5
--- a/packages/testing/src/gentianlink/testing/exchange_cost.py
+++ b/packages/testing/src/gentianlink/testing/exchange_cost.py
@@ -34,8 +34,8 @@
 from gentianlink.sidecar.peer_directory import PeerDirectory
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.routing.load_view import LoadView
-from gentianlink.sidecar.routing.target_load import TargetLoad
 from gentianlink.sidecar.target_info import TargetInfo
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.loopback import get_own_address, get_ports
 
 SIZES = "11,40,89,160"
--- a/packages/testing/src/gentianlink/testing/membership_model.py
+++ b/packages/testing/src/gentianlink/testing/membership_model.py
@@ -31,7 +31,7 @@
 from gentianlink.sidecar.peer_directory import PeerDirectory
 from gentianlink.sidecar.peer_record import PeerRecord
 from gentianlink.sidecar.routing.load_view import LoadView
-from gentianlink.sidecar.routing.target_load import TargetLoad
+from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
 
 DELAY_S = 0.001
