Fix the receive buffer of the target in the test of callers that have left

It sends 400 KiB to a target that does not read, has the caller leave, and asks that the target never gets all of it. The failure itself was not seen again.

--- a/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
@@ -71,6 +71,8 @@
 
 class TestTargetThatReadsLate:
     BODY_BYTES = 400 * 1024
+    # What the kernel keeps for the target. By default it may grow beyond the body.
+    RECEIVE_BUFFER_BYTES = 16 * 1024
 
     # Guards against delivering the rest of a call whose caller has left, so that a
     # target executes it once it gets round to reading it.
@@ -93,8 +95,12 @@
                 writer.close()
 
             host, _, port = node.target.address.rpartition(":")
+            listener = socket.create_server((host, int(port)))
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES
+            )
             # The limit keeps the rest of the body out of the target's process.
-            server = await asyncio.start_server(read_late, host, int(port), limit=1024)
+            server = await asyncio.start_server(read_late, sock=listener, limit=1024)
             call = asyncio.create_task(
                 node.call("/read/1", "gone", "POST", b"x" * self.BODY_BYTES)
             )
