Count recent events in one place; one flag for a stop; read a call's deadline once

Found when the whole change was read again; behaviour stays as it is:

- A stop was kept in three flags (Sidecar, CallerServer, StopPlan); StopPlan has it now.
- The deadline header of each call was parsed twice.
- Two tests made the same hop; SidecarNode.make_hop does.

--- a/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/callers/caller_server.py
@@ -80,14 +80,13 @@
         self._stop_plan = stop_plan
         self._get_work_ms = get_work_ms
         self._retry_estimator = CallerRetryEstimator()
-        self._is_closing = False
         self._is_refusing = False
         self._pipelined_budget = BufferBudget(MAX_TOTAL_BYTES)
 
     @property
     def is_closing(self):
         """Whether connections are closed after the next answer."""
-        return self._is_closing
+        return self._stop_plan.is_stopping
 
     @property
     def pipelined_bytes(self):
@@ -134,10 +133,6 @@
         host = reader.headers.get("Host", "")
         return rules, find_rule(rules, host, reader.path)
 
-    def close_connections_after_answers(self):
-        """Answer the calls that arrive from now on with "Connection: close"."""
-        self._is_closing = True
-
     def refuse_new_calls(self):
         """Refuse all calls that arrive from now on."""
         self._is_refusing = True
@@ -157,7 +152,7 @@
 
     async def serve(self, reader, writer):
         """Route one call."""
-        if self._is_closing:
+        if self.is_closing:
             reader.connection.close_after_answer()
         refusal = validate_request(reader.start_line, reader.headers)
         if refusal is not None:
@@ -173,7 +168,12 @@
             # Only after a change of the rules is this not the first request already.
             reader.request.blocks_later = True
             await writer.wait_turn()
-        deadline_ms, caller_deadline_ms = self._compute_deadlines(reader, rule)
+        allowed_ms = parse_deadline_ms(reader.headers)
+        deadline_ms = reader.started_ms + rule.timeout_ms
+        caller_deadline_ms = 0.0
+        if allowed_ms is not None:
+            caller_deadline_ms = reader.started_ms + allowed_ms
+            deadline_ms = min(deadline_ms, caller_deadline_ms)
         if not self._may_take(rule, deadline_ms, get_monotonic_ms()):
             return self._refuse(reader, Reason.DRAINING, NOT_READY_RETRY_MS)
         # The caller gets an answer also if the call takes longer than was likely.
@@ -185,7 +185,6 @@
             return self._refuse(reader, refusal.reason, refusal.retry_after_ms, tenant)
         if tenant is not None and tenant.priority is not None:
             rule = attrs.evolve(rule, priority=tenant.priority)
-        allowed_ms = parse_deadline_ms(reader.headers)
         call = reader.make_bounded_call(deadline_ms, caller_deadline_ms)
         call.headers.pop(HOP_HEADER, None)
         call.headers[wire.CALLING_SERVICE] = self._service
@@ -204,16 +203,6 @@
         self._record_call(reader, rule, service, rules.version, elapsed_ms, refusal)
         return refusal
 
-    def _compute_deadlines(self, reader, rule):
-        """Return the deadlines of a call and of its caller, 0 if that is unknown."""
-        deadline_ms = reader.started_ms + rule.timeout_ms
-        caller_deadline_ms = 0.0
-        allowed_ms = parse_deadline_ms(reader.headers)
-        if allowed_ms is not None:
-            caller_deadline_ms = reader.started_ms + allowed_ms
-            deadline_ms = min(deadline_ms, caller_deadline_ms)
-        return deadline_ms, caller_deadline_ms
-
     def _may_take(self, rule, deadline_ms, now_ms):
         if not self._stop_plan.is_stopping:
             return True
--- a/packages/sidecar/src/gentianlink/sidecar/forward_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/forward_server.py
@@ -59,12 +59,13 @@
         self._on_version(reader.remote_address, hop.version)
         if hop.incarnation != self._incarnation:
             return Refusal(Reason.WRONG_NODE, retry_after_ms=STALE_STATE_RETRY_MS)
+        deadline_ms = reader.started_ms + remaining_ms
         now_ms = get_monotonic_ms()
-        limit_ms = reader.started_ms + remaining_ms - now_ms
+        limit_ms = deadline_ms - now_ms
         # The other node can send any call to another target.
         if not self._stop_plan.may_take(limit_ms, limit_ms, False, now_ms):
             return Refusal(Reason.DRAINING, retry_after_ms=STALE_STATE_RETRY_MS)
-        call = reader.make_bounded_call(reader.started_ms + remaining_ms)
+        call = reader.make_bounded_call(deadline_ms)
         del call.headers[HOP_HEADER]
         buffer, refusal = await self._runner.run(call, hop, writer, self._add_result)
         if refusal is None:
--- a/packages/sidecar/src/gentianlink/sidecar/retries/retry_share.py
+++ b/packages/sidecar/src/gentianlink/sidecar/retries/retry_share.py
@@ -13,6 +13,8 @@
 
 import collections
 
+from gentianlink.sidecar.retries.recent_counts import RecentCounts
+
 # Share of the ratio that a node spends. A process that restarts has forgotten the
 # repeats of the former one, and the calls of its window may lie in two windows of the
 # budget, so that one window may have twice the repeats of a share. What is left also
@@ -46,15 +48,15 @@
         self._bounds = bounds
         self._count_nodes = count_nodes
         self._started_ms = started_ms
-        self._calls = collections.defaultdict(collections.deque)
-        # Repeats that have not ended, and the times at which others have.
+        self._calls = RecentCounts(bounds.retry_window_ms)
+        # Repeats that have not ended, and those that have.
         self._pending = collections.Counter()
-        self._ended = collections.defaultdict(collections.deque)
+        self._ended = RecentCounts(bounds.retry_window_ms)
 
     @property
     def services(self):
         """Names of the services that calls have arrived for, in order."""
-        return sorted(self._calls)
+        return sorted(self._calls.keys)
 
     def record_call(self, service, now_ms):
         """Count the arrival of a call to a service.
@@ -66,9 +68,7 @@
         now_ms : float
             Present time on the monotonic clock in milliseconds.
         """
-        calls = self._calls[service]
-        self._drop_expired(calls, now_ms)
-        calls.append(now_ms)
+        self._calls.record(service, now_ms)
 
     def try_take(self, service, is_caller_retry, now_ms):
         """Begin a repeat if this node's share has room; :meth:`end` must follow.
@@ -109,7 +109,7 @@
         """
         self._pending[service] -= 1
         if has_arrived:
-            self._ended[service].append(now_ms)
+            self._ended.record(service, now_ms)
 
     def count_repeats(self, service, now_ms):
         """Return the number of repeats that count against this node's share.
@@ -126,9 +126,7 @@
         int
             Repeats that have not ended, or have within the window.
         """
-        ended = self._ended[service]
-        self._drop_expired(ended, now_ms)
-        return self._pending[service] + len(ended)
+        return self._pending[service] + self._ended.count(service, now_ms)
 
     def compute_allowance(self, service, now_ms):
         """Return the number of repeats that may count against this node's share.
@@ -146,15 +144,9 @@
             Repeats of callers that retry; others may use `FIRST_ATTEMPT_SHARE` of it.
         """
         bounds = self._bounds
-        calls = self._calls[service]
-        self._drop_expired(calls, now_ms)
+        calls = self._calls.count(service, now_ms)
         nodes = self._count_nodes()
         # The part of the constant grows from 0 over one window from the start.
         age_share = min(1.0, (now_ms - self._started_ms) / bounds.retry_window_ms)
         extra = bounds.retry_extra / nodes * age_share if nodes else 0.0
-        return RATIO_SHARE * bounds.retry_ratio * len(calls) + EXTRA_SHARE * extra
-
-    def _drop_expired(self, times, now_ms):
-        start_ms = now_ms - self._bounds.retry_window_ms
-        while times and times[0] < start_ms:
-            times.popleft()
+        return RATIO_SHARE * bounds.retry_ratio * calls + EXTRA_SHARE * extra
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -79,7 +79,6 @@
         self._writer = writer
         self._limiter = limiter
         self._metrics = CallMetrics()
-        self._is_stopping = False
         self._stop_plan = StopPlan(settings.bounds.grace_ms)
         self._tasks = []
         self._endpoints = []
@@ -214,7 +213,7 @@
     @property
     def is_ready(self):
         """Whether callers should send new calls here."""
-        return self._holder.rules is not None and not self._is_stopping
+        return self._holder.rules is not None and not self._stop_plan.is_stopping
 
     def _get_load(self):
         return self._local_target.gate.get_load()
@@ -222,7 +221,7 @@
     def _publish(self):
         self._directory.update_own(
             target=self._local_target.info,
-            is_stopping=self._is_stopping,
+            is_stopping=self._stop_plan.is_stopping,
             crashes=self._guard.own_reports,
         )
         self._exchange.push()
@@ -332,9 +331,7 @@
     async def _stop(self):
         _LOG.info("stopping", in_flight=self._in_flight)
         self._stop_plan.begin(get_monotonic_ms())
-        self._is_stopping = True
         self._publish()
-        self._caller_server.close_connections_after_answers()
         await asyncio.sleep(self._stop_plan.accept_ms / MS_PER_S)
         self._caller_server.refuse_new_calls()
         self._local_target.gate.close(Reason.DRAINING)
--- a/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_gone_callers.py
@@ -4,7 +4,7 @@
 import pytest
 
 from gentianlink.platform import wire
-from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop
+from gentianlink.sidecar.hop import HOP_HEADER, format_hop
 from gentianlink.testing.raw_http import format_message
 from gentianlink.testing.sidecar_world import DEADLINE_MS, HOST, SidecarWorld
 
@@ -52,17 +52,8 @@
         async def work(world):
             node = world.nodes[1]
             record = node.sidecar._directory.own
-            hop = Hop(
-                incarnation=record.incarnation,
-                target_id=node.target.target_id,
-                rule_name="read",
-                priority=1,
-                latency_ms=500.0,
-                target_latency_ms=500.0,
-                may_wait=True,
-                is_repeatable=True,
-            )
-            send_and_leave(record.forward_address, b"", **{HOP_HEADER: format_hop(hop)})
+            headers = {HOP_HEADER: format_hop(node.make_hop())}
+            send_and_leave(record.forward_address, b"", **headers)
             await asyncio.sleep(SETTLE_S)
             assert node.target.requests == []
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_planned_stop.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_planned_stop.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gentianlink.platform import wire
-from gentianlink.sidecar.hop import HOP_HEADER, Hop, format_hop, parse_result
+from gentianlink.sidecar.hop import HOP_HEADER, format_hop, parse_result
 from gentianlink.testing.raw_http import exchange, format_message, read_message
 from gentianlink.testing.scripted_target import make_answer
 from gentianlink.testing.sidecar_world import DEADLINE_MS, HOST, SidecarWorld
@@ -134,16 +134,7 @@
             async with SidecarWorld(["inquiry"]) as world:
                 node = world.nodes[0]
                 record = node.sidecar._directory.own
-                hop = Hop(
-                    incarnation=record.incarnation,
-                    target_id=node.target.target_id,
-                    rule_name="read",
-                    priority=1,
-                    latency_ms=1900.0,
-                    target_latency_ms=1900.0,
-                    may_wait=True,
-                    is_repeatable=is_repeatable,
-                )
+                hop = node.make_hop(1900.0, is_repeatable)
                 headers = {
                     "Host": HOST,
                     wire.REQUEST_ID: "id-1",
--- a/packages/testing/src/gentianlink/testing/sidecar_world.py
+++ b/packages/testing/src/gentianlink/testing/sidecar_world.py
@@ -10,6 +10,7 @@
 from gentianlink.parser.settings_sections import parse_sections
 from gentianlink.platform import wire
 from gentianlink.sidecar.exchange.peer_codec import decode_record
+from gentianlink.sidecar.hop import Hop
 from gentianlink.sidecar.settings import SidecarSettings
 from gentianlink.sidecar.sidecar import Sidecar
 from gentianlink.testing.flaky_gateway import FlakyGateway
@@ -197,6 +198,32 @@
         )
         return answer.status
 
+    def make_hop(self, latency_ms=500.0, is_repeatable=True):
+        """Return the metadata of a call that another node forwards to this one.
+
+        Parameters
+        ----------
+        latency_ms : float, optional
+            Target latency in milliseconds, all of which is left.
+        is_repeatable : bool, optional
+            Whether a second execution does no harm.
+
+        Returns
+        -------
+        Hop
+            Metadata of a call of the rule `read`.
+        """
+        return Hop(
+            incarnation=self.sidecar._directory.own.incarnation,
+            target_id=self.target.target_id,
+            rule_name="read",
+            priority=1,
+            latency_ms=latency_ms,
+            target_latency_ms=latency_ms,
+            may_wait=True,
+            is_repeatable=is_repeatable,
+        )
+
     async def send_leave(self):
         """Announce that the target has left and return the HTTP status."""
         path = f"{wire.ANNOUNCE_PATH_PREFIX}{self.target.target_id}"
