--- /dev/null
+++ b/review/stand_ins/script.py
@@ -0,0 +1,45 @@
+"""Run a case as a script: its exit status, and its record."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import traceback
+
+from stand_ins.record import Record
+
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+
+
+class CannotRun(Exception):
+    """The case could not be brought about."""
+
+
+def has_trouble():
+    """Return whether the disruption is wanted."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_case(case):
+    """Run a case and exit with its status.
+
+    Parameters
+    ----------
+    case : callable
+        Coroutine function that takes the record; returns the violations as texts.
+    """
+    status = NOT_RUN
+    try:
+        record = Record(pathlib.Path("record.txt"))
+        record.note("trouble" if has_trouble() else "no trouble")
+        violations = asyncio.run(case(record))
+        for text in violations:
+            record.note(f"rule broken: {text}")
+            print(text)
+        record.note("end", violations=len(violations))
+        print(f"{len(violations)} violations")
+        status = BROKEN if violations else HELD
+        record.close()
+    except Exception:
+        traceback.print_exc()
+    sys.exit(status)
