Review case 3: a popular request is quarantined because one server flaps

GET of one path by most clients is in flight at each crash of a flapping server and is then refused by all nodes, also after all processes were killed.

--- a/review/stand_ins/server.py
+++ b/review/stand_ins/server.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import json
+import secrets
+import socket
+import struct
 import time
 
 from stand_ins.http import format_message, read_message, request
@@ -76,6 +79,7 @@
         self._sequence = 0
         self._server = None
         self._beats = None
+        self._writers = set()
 
     async def start(self):
         """Start to serve and to send heartbeats."""
@@ -89,6 +93,22 @@
         self._beats.cancel()
         self._server.close()
 
+    def crash(self):
+        """End as a crashed process does: all connections are reset."""
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            connection = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    async def start_anew(self):
+        """Start again with another id, as a new lifetime."""
+        self.name = f"i-{secrets.token_hex(4)}"
+        self._sequence = 0
+        await self.start()
+
     async def _beat(self):
         while True:
             is_acknowledged = await self.send_heartbeat("ready")
@@ -133,6 +153,7 @@
             await asyncio.sleep(RETRY_S)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 work = asyncio.create_task(self._answer(message))
@@ -155,6 +176,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _write(self, writer, answer):
