Start lasting tasks again when they fail; a connection reset at once is unavailable

Cause: a connection that the service resets right after it was opened has no socket any more; setting its options raises an AttributeError, which no loop expects and which ends the task that follows the catalogue. Nothing starts it again, and the node says that it is ready.

Evidence: 'task failed' at all three nodes of the case, with that error, in the feed and in the rows of nodes; no line of the feed after it.

Change: such a connection counts as failed. Tasks that serve until the process ends are started again with back-off, and counted; also links to other nodes, and the tasks of gentianlink-node.

--- a/packages/sidecar/src/gentianlink/sidecar/backoff.py
+++ b/packages/node/src/gentianlink/node/backoff.py
@@ -1,4 +1,4 @@
-"""Exponential back-off with jitter for requests to the platform."""
+"""Exponential back-off with jitter."""
 
 import random
 
--- a/packages/node/src/gentianlink/node/mesh/topology.py
+++ b/packages/node/src/gentianlink/node/mesh/topology.py
@@ -1,10 +1,11 @@
 """Links to the chosen neighbours, and temporary links to join or heal the mesh."""
 
+import functools
 import random
 
 import attrs
 
-from gentianlink.node.background import start_task
+from gentianlink.node.background import start_lasting_task, start_task
 from gentianlink.node.mesh.dialer import DialPlan, run_dialer, run_temporary_link
 from gentianlink.ops.choose_neighbours import LinkNumbers, NeighbourChooser
 
@@ -120,7 +121,8 @@
         if existing is not None:
             existing.task.cancel()
         plan = DialPlan(address, node.node_id, self._on_unreachable, self._mark_full)
-        task = start_task(run_dialer(self._mesh, plan), f"dialer {node.node_id}")
+        work = functools.partial(run_dialer, self._mesh, plan)
+        task = start_lasting_task(work, f"dialer {node.node_id}")
         self._dialers[node.node_id] = _Dialer(address, task)
 
     def _mark_full(self, node_id, now_ms):
--- a/packages/node/src/gentianlink/node/node.py
+++ b/packages/node/src/gentianlink/node/node.py
@@ -1,11 +1,12 @@
 """Assemble the components of a node, run them, and stop them gracefully."""
 
 import asyncio
+import functools
 
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.admin import start_admin_server
 from gentianlink.node.applied_catalogue import AppliedCatalogue
-from gentianlink.node.background import start_task
+from gentianlink.node.background import start_lasting_task
 from gentianlink.node.claims.at_most_once import AtMostOnce
 from gentianlink.node.claims.claim_counts import ClaimCounts
 from gentianlink.node.claims.cleaner import Cleaner, run_cleaner
@@ -296,21 +297,30 @@
             Set when the node should stop.
         """
         mesh_server = await self._start_servers()
-        for work in (
-            self._reader.run(),
-            self._joining.run(),
-            self._joining.run_rows(),
-            self._convergence.run(),
-            run_periodically(self._tick_monitor, TICK_MS / 1000),
-            run_periodically(self._mesh.request_later_version, FETCH_CHECK_PERIOD_S),
-            run_periodically(self._sweep, SWEEP_PERIOD_S),
-            self._run_cleaner(),
-        ):
-            self._tasks.append(start_task(work, work.__qualname__))
+        for name, make_work in self._list_tasks().items():
+            self._tasks.append(start_lasting_task(make_work, name))
         _LOG.info("node started", node=self._settings.node.id)
         await stop_requested.wait()
         await self._stop(mesh_server)
 
+    def _list_tasks(self):
+        """Return what runs until the process ends, by name."""
+        request_version = self._mesh.request_later_version
+        return {
+            "head reader": self._reader.run,
+            "joining": self._joining.run,
+            "node rows": self._joining.run_rows,
+            "convergence": self._convergence.run,
+            "monitor": functools.partial(
+                run_periodically, self._tick_monitor, TICK_MS / 1000
+            ),
+            "later versions": functools.partial(
+                run_periodically, request_version, FETCH_CHECK_PERIOD_S
+            ),
+            "sweep": functools.partial(run_periodically, self._sweep, SWEEP_PERIOD_S),
+            "cleaner": self._run_cleaner,
+        }
+
     async def _start_servers(self):
         listen = self._settings.listen
         with report_listen_failure("admin_port", listen):
--- a/packages/platform/src/gentianlink/platform/service_connections.py
+++ b/packages/platform/src/gentianlink/platform/service_connections.py
@@ -128,10 +128,13 @@
                 stream = await self._client.connect(
                     self._host, self._port, ssl_options=self._ssl_context
                 )
+            # The service may have reset the connection already.
+            if stream.closed():
+                raise StreamClosedError(stream.error)
+            set_connection_options(stream.socket)
         except (OSError, StreamClosedError, TimeoutError) as error:
             why = type(error).__name__
             raise PlatformUnavailable(f"no connection: {why}") from error
-        set_connection_options(stream.socket)
         return stream
 
     async def _exchange(self, stream, method, path, body, deadline_s):
--- a/packages/platform/src/gentianlink/platform/test_service_connections.py
+++ b/packages/platform/src/gentianlink/platform/test_service_connections.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from tornado.tcpclient import TCPClient
 
 from gentianlink.core.errors import PlatformOutcomeUnknown, PlatformUnavailable
 from gentianlink.platform.service_answer import ServiceAnswer
@@ -129,6 +130,27 @@
         assert run(service, POST, POST) == [PlatformUnavailable, OK]
         assert service.connections == 1
 
+    # Guards against an error that is no PlatformError and ends the task that sends.
+    @pytest.mark.parametrize("method", ["GET", "POST"])
+    def test_connection_reset_at_once_raises_platform_unavailable(
+        self, method, monkeypatch
+    ):
+        async def connect(client, *args, **kwargs):
+            stream = await original(client, *args, **kwargs)
+            stream.close()
+            return stream
+
+        async def send():
+            port = await Service([OK_BYTES]).start()
+            connections = ServiceConnections(f"http://127.0.0.1:{port}", TIMEOUT_MS)
+            with pytest.raises(PlatformUnavailable):
+                await connections.send(method, "/")
+            await asyncio.sleep(0.01)
+
+        original = TCPClient.connect
+        monkeypatch.setattr(TCPClient, "connect", connect)
+        asyncio.run(send())
+
     def test_refused_connection_raises_platform_unavailable(self):
         async def send():
             server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
--- a/packages/sidecar/src/gentianlink/sidecar/endpoints_server.py
+++ b/packages/sidecar/src/gentianlink/sidecar/endpoints_server.py
@@ -9,7 +9,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from gentianlink.node.background import start_task
+from gentianlink.node.background import note_failure, start_task
+from gentianlink.sidecar.status import STATUS_SERVER_ERROR
 
 
 @attrs.frozen
@@ -57,9 +58,13 @@
 
 
 async def _answer(request, handle):
-    reply = handle(request.method, request.uri, request.body)
-    if inspect.isawaitable(reply):
-        reply = await reply
+    try:
+        reply = handle(request.method, request.uri, request.body)
+        if inspect.isawaitable(reply):
+            reply = await reply
+    except Exception as error:
+        note_failure("endpoint", error)
+        reply = Reply(STATUS_SERVER_ERROR)
     headers = HTTPHeaders(
         {"Content-Length": str(len(reply.body)), "Content-Type": reply.content_type}
     )
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+import functools
 import random
 
 import orjson
 
 from gentianlink.core.errors import CodecError, PlatformError
-from gentianlink.node.background import start_task
+from gentianlink.node.background import start_lasting_task
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.endpoints_server import Reply
@@ -102,6 +103,8 @@
         Roll-outs of which this node knows.
     datagrams : DatagramEndpoint, optional
         Datagrams to other nodes; without it all messages are sent over HTTP.
+    on_task_failure : callable, optional
+        Called with the name of a task that has failed and is started again.
     """
 
     def __init__(
@@ -114,8 +117,10 @@
         connections=None,
         rollouts=None,
         datagrams=None,
+        on_task_failure=lambda name: None,
     ):
         super().__init__(directory, connections or PeerConnections())
+        self._on_task_failure = on_task_failure
         self._load_view = load_view
         self._get_own_load = get_own_load
         self._get_version = get_version
@@ -209,7 +214,8 @@
             return
         link = PeerLink(address, record.node_id, get_monotonic_ms(), self._push)
         self._links[address] = link
-        link.task = start_task(self._run_link(link), "peer")
+        run_link = functools.partial(self._run_link, link)
+        link.task = start_lasting_task(run_link, "peer", self._on_task_failure)
 
     async def _run_link(self, link):
         # If the other node has begun an exchange during the jitter, this node need not.
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -13,8 +13,8 @@
 import attrs
 
 from gentianlink.core.errors import CodecError, HistoryUnavailable, PlatformError
+from gentianlink.node.backoff import compute_backoff_s
 from gentianlink.node.log import get_logger
-from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.exchange.peer_codec import decode_record, encode_record
 from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
 from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
--- a/packages/sidecar/src/gentianlink/sidecar/rollout/status_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rollout/status_rows.py
@@ -4,13 +4,13 @@
 
 from gentianlink.core.errors import CodecError, PlatformError, WriteConflict
 from gentianlink.core.rollout import RolloutPhase
+from gentianlink.node.backoff import compute_backoff_s
 from gentianlink.node.log import get_logger
 from gentianlink.platform.rollout_codec import (
     decode_rollout_status,
     encode_rollout_status,
 )
 from gentianlink.platform.wire import ROLLOUT_KEY_PREFIX
-from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.rollout.rollout_orders import get_row_revision
 
 _LOG = get_logger("rollout")
--- a/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_feed.py
@@ -7,10 +7,10 @@
     PlatformError,
     PlatformOutcomeUnknown,
 )
+from gentianlink.node.backoff import compute_backoff_s
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.platform.wire import CATALOGUE_KEY
-from gentianlink.sidecar.backoff import compute_backoff_s
 from gentianlink.sidecar.poll_margin import PollMargin
 from gentianlink.sidecar.version_lag import VersionLag
 
@@ -142,13 +142,14 @@
             changes = await self._poll_table()
         self._is_reading = True
         self._revision, self._era = changes.revision, changes.era
-        self._on_rows(changes.rows, changes.era)
         size = 0
         for row in changes.rows:
             if row.key == CATALOGUE_KEY and not row.is_removed:
                 size += len(row.value)
                 if self._holder.install_version(row.value, "table"):
                     self._exchange.announce_version()
+        # Last: whatever other rows hold, a version that came with them is in force.
+        self._on_rows(changes.rows, changes.era)
         if size:
             transfer_s = compute_transfer_s(size, self._link_mbps)
             self._margin.note_transfer(transfer_s * MS_PER_S)
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -1,10 +1,15 @@
 """Assembly, start and graceful shutdown of the sidecar process."""
 
 import asyncio
+import functools
 
 from gentianlink.core.reason import Reason
 from gentianlink.core.target_state import TargetState
-from gentianlink.node.background import start_task
+from gentianlink.node.background import (
+    make_exception_handler,
+    run_step,
+    start_lasting_task,
+)
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.endpoint_health import EndpointHealth
 from gentianlink.node.log import get_logger
@@ -122,6 +127,7 @@
             self._restore_target,
             rollouts=self._rollouts.board,
             datagrams=self._datagrams,
+            on_task_failure=self._count_task_failure,
         )
         self._rollouts.set_spread(self._exchange.spread_rollouts)
         self._nodes_table = TableClient(
@@ -204,6 +210,7 @@
             own.incarnation,
             self._stop_plan,
         )
+        self._sweeps = self._list_sweeps()
 
     @classmethod
     def from_settings(cls, settings, writer=None, limiter=None):
@@ -277,23 +284,39 @@
         listener : socket.socket, optional
             Socket that is already listening for callers; without it one is opened.
         """
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(make_exception_handler(self._count_task_failure))
         self._listen(listener)
         await self._datagrams.open(self._settings.peer_address)
-        for coroutine in (
-            self._follow_rules(),
-            self._feed.run_peers(self._directory.get_newest_version, VERSION_CHECK_S),
-            self._rows.run(),
-            self._rollouts.run(),
-            run_periodically(self._rollouts.turn, TURN_S),
-            run_periodically(self._sweep, SWEEP_PERIOD_S),
-            self._quota.run(),
-        ):
-            self._tasks.append(start_task(coroutine, coroutine.__qualname__))
+        for name, make_work in self._list_tasks().items():
+            self._tasks.append(
+                start_lasting_task(make_work, name, self._count_task_failure)
+            )
         own = self._directory.own
         _LOG.info("started", node=own.node_id, incarnation=own.incarnation)
         await stop_requested.wait()
         await self._stop()
 
+    def _list_tasks(self):
+        """Return what runs until the process ends, by name."""
+        get_newest_version = self._directory.get_newest_version
+        return {
+            "catalogue feed": self._follow_rules,
+            "versions of peers": functools.partial(
+                self._feed.run_peers, get_newest_version, VERSION_CHECK_S
+            ),
+            "node rows": self._rows.run,
+            "roll-out status": self._rollouts.run,
+            "roll-outs": functools.partial(
+                run_periodically, self._rollouts.turn, TURN_S
+            ),
+            "sweep": functools.partial(run_periodically, self._sweep, SWEEP_PERIOD_S),
+            "tenants": self._quota.run,
+        }
+
+    def _count_task_failure(self, name):
+        self._metrics.count("task_failures_total", task=name)
+
     def _listen(self, listener):
         listen = self._settings.listen
         if listener is None:
@@ -318,15 +341,24 @@
         address = self._settings.peer_address
         self._endpoints.append(serve_endpoint(address, peer_handler))
 
+    def _list_sweeps(self):
+        """Return what is done periodically; each takes the present time."""
+        return (
+            self._pool.sweep,
+            self._caller_server.sweep,
+            self._directory.forget_old,
+            self._exchange.sweep,
+            self._local_target.check_failing,
+            self._local_target.publish_work,
+            self._guard.sweep,
+        )
+
     def _sweep(self):
         now_ms = get_monotonic_ms()
-        self._pool.sweep(now_ms)
-        self._caller_server.sweep(now_ms)
-        self._directory.forget_old(now_ms)
-        self._exchange.sweep(now_ms)
-        self._local_target.check_failing(now_ms)
-        self._local_target.publish_work(now_ms)
-        self._guard.sweep(now_ms)
+        for sweep in self._sweeps:
+            run_step(
+                functools.partial(sweep, now_ms), "sweep", self._count_task_failure
+            )
 
     async def _stop(self):
         _LOG.info("stopping", in_flight=self._in_flight)
