Confirm that a call was not run only as far back as dispatches are remembered

Cause: the node beside the target forgets a dispatch after 15 s and answers a fence by what it finds, so 'forgotten' is answered as 'never sent'. The fence itself was forgotten after 15 s too, though the call may wait for a slot longer.

Change: the answer to a fence says how far back the log reaches, and the node that asks compares that with the age of its call, by the clock that counts suspended time.

Why it works: whatever the time limits, an answer that rests on what may be forgotten is no confirmation any more.

--- a/packages/node/src/gentianlink/node/clock.py
+++ b/packages/node/src/gentianlink/node/clock.py
@@ -1,4 +1,4 @@
-"""Wall clock and monotonic clock.
+"""Wall clock and monotonic clocks.
 
 Functions whose result depends on the present time take it as an argument.
 """
@@ -14,3 +14,14 @@
 def get_monotonic_ms():
     """Return the time of the monotonic clock in milliseconds, as a float."""
     return time.monotonic() * 1000
+
+
+def get_boot_ms():
+    """Return the time of the monotonic clock that counts while a machine is suspended.
+
+    Returns
+    -------
+    float
+        Time in milliseconds; only differences are meaningful.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -7,7 +7,7 @@
 
 from gentianlink.core.outcome import Outcome
 from gentianlink.core.reason import Reason
-from gentianlink.node.clock import get_monotonic_ms, get_now_ms
+from gentianlink.node.clock import get_boot_ms, get_monotonic_ms, get_now_ms
 from gentianlink.node.failure_kind import FAILURE_KINDS
 from gentianlink.node.log import get_logger
 from gentianlink.node.proxy.connection_pool import get_max_idle_ms
@@ -26,9 +26,6 @@
 
 _LOG = get_logger("router")
 
-# A target may send nothing until the deadline while it works; TCP keep-alive probes
-# detect a dead connection.
-MAX_SILENCE_MS = 30_000
 # A call whose deadline is nearer than this is not retried: it could not complete.
 MIN_TIME_FOR_RETRY_MS = 30.0
 # Longest wait for the confirmation that a call whose time limit has passed was not run;
@@ -318,18 +315,24 @@
             _drop_hop_header,
             call.method == "HEAD",
         )
-        refusal = await send_call(self._pool, stream, call, buffer, MAX_SILENCE_MS)
+        forwarded_ms = get_boot_ms()
+        refusal = await send_call(self._pool, stream, call, buffer)
         if refusal is None:
             return buffer, None
         if refusal.outcome is Outcome.UNKNOWN and not buffer.is_begun:
-            refusal = await self._resolve_unknown_outcome(call, candidate, hop, refusal)
+            refusal = await self._resolve_unknown_outcome(
+                call, candidate, hop, refusal, forwarded_ms
+            )
         return None, refusal
 
-    async def _resolve_unknown_outcome(self, call, candidate, hop, refusal):
+    async def _resolve_unknown_outcome(
+        self, call, candidate, hop, refusal, forwarded_ms
+    ):
         """Fence a call whose connection was lost, to learn whether it was executed.
 
-        If the node beside the target confirms the fence, the call was not dispatched
-        and never will be, so its outcome is no longer unknown.
+        If the node beside the target confirms the fence, and remembers the calls that
+        it got since this one was forwarded, the call was not dispatched and never will
+        be, so its outcome is no longer unknown.
         """
         request_id = call.headers.get(wire.REQUEST_ID, "")
         timeout_ms = None
@@ -338,15 +341,23 @@
             # A caller that waits no longer could not repeat the call.
             if call.caller_deadline_ms < get_monotonic_ms() + 2 * timeout_ms:
                 return refusal
-        is_fenced = await self._exchange.fence(
-            candidate.node_id, hop.incarnation, request_id, timeout_ms
+        covered_ms = await self._exchange.fence(
+            candidate.node_id,
+            hop.incarnation,
+            request_id,
+            call.get_remaining_ms(get_monotonic_ms()),
+            timeout_ms,
         )
+        age_ms = get_boot_ms() - forwarded_ms
+        is_fenced = age_ms < covered_ms
         _LOG.info(
             "connection to node lost",
             id=request_id,
             peer=candidate.node_id,
             why=refusal.reason.value,
             is_fenced=is_fenced,
+            age_ms=round(age_ms),
+            covered_ms=round(covered_ms),
         )
         if not is_fenced:
             return refusal
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
@@ -1,5 +1,7 @@
 """HTTP endpoint for the requests of other nodes."""
 
+import math
+
 import orjson
 
 from gentianlink.node.clock import get_monotonic_ms
@@ -89,12 +91,15 @@
     try:
         request = orjson.loads(body)
         request_id, requested = request["id"], request["incarnation"]
+        remaining_ms = float(request["remaining_ms"])
     except (KeyError, TypeError, ValueError):
         return Reply(STATUS_BAD_REQUEST)
+    if not isinstance(request_id, str) or not math.isfinite(remaining_ms):
+        return Reply(STATUS_BAD_REQUEST)
     # An earlier incarnation may have sent a call that was forwarded to it, and this
     # process can't tell.
-    is_fenced = requested == incarnation and dispatches.fence(
-        request_id, get_monotonic_ms()
-    )
-    _LOG.info("fence requested", id=request_id, is_fenced=is_fenced)
-    return Reply(body=orjson.dumps({"id": request_id, "is_fenced": is_fenced}))
+    covered_ms = 0.0
+    if requested == incarnation:
+        covered_ms = dispatches.fence(request_id, remaining_ms, get_monotonic_ms())
+    _LOG.info("fence requested", id=request_id, covered_ms=round(covered_ms))
+    return Reply(body=orjson.dumps({"id": request_id, "covered_ms": covered_ms}))
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
@@ -109,7 +109,9 @@
             raise PlatformUnavailable(f"status {answer.code}")
         return answer.body
 
-    async def fence(self, node_id, incarnation, request_id, timeout_ms=None):
+    async def fence(
+        self, node_id, incarnation, request_id, remaining_ms, timeout_ms=None
+    ):
         """Ask a node to fence a call: never to send it to its target.
 
         Parameters
@@ -120,32 +122,48 @@
             Incarnation to which the call was forwarded.
         request_id : str
             Id of the call.
+        remaining_ms : float
+            Time until the call's time limit in milliseconds.
         timeout_ms : int, optional
             Longest wait in milliseconds, in place of that of other requests.
 
         Returns
         -------
-        bool
-            True if the call has not been sent to the target and never will be; False if
-            this is not certain.
+        float
+            Time in milliseconds before the answer: if the call was forwarded within it,
+            it has not been sent to the target and never will be. 0 if this is not
+            certain.
         """
         record = self._directory.get(node_id)
         if record is None:
-            return False
-        body = orjson.dumps({"id": request_id, "incarnation": incarnation})
+            return 0.0
+        body = orjson.dumps(
+            {
+                "id": request_id,
+                "incarnation": incarnation,
+                "remaining_ms": remaining_ms,
+            }
+        )
         connections = self._connections.get(record.peer_address)
         try:
             answer = await connections.send("POST", FENCE_PATH, body, timeout_ms)
         except PlatformError as error:
             _LOG.info("fence unanswered", id=request_id, peer=node_id, why=str(error))
-            return False
-        return answer.code == STATUS_OK and _is_fenced(answer.body, request_id)
+            return 0.0
+        return _decode_covered_ms(answer, request_id)
 
 
-def _is_fenced(body, request_id):
-    """Return whether an answer says that a call is fenced; it must name the call."""
+def _decode_covered_ms(answer, request_id):
+    """Return the time that the answer to a fence covers; it must name the call.
+
+    A node of an earlier release answers without a time, which covers nothing: its log
+    may have forgotten the call.
+    """
+    if answer.code != STATUS_OK:
+        return 0.0
     try:
-        answer = orjson.loads(body)
-    except ValueError:
-        return False
-    return answer == {"id": request_id, "is_fenced": True}
+        value = orjson.loads(answer.body)
+        is_of_call = value["id"] == request_id
+        return float(value["covered_ms"]) if is_of_call else 0.0
+    except (KeyError, TypeError, ValueError):
+        return 0.0
--- a/packages/sidecar/src/gentianlink/sidecar/send_call.py
+++ b/packages/sidecar/src/gentianlink/sidecar/send_call.py
@@ -1,10 +1,16 @@
 """Send a call over a connection and turn every failure into a typed refusal."""
 
+import math
+
 from gentianlink.node.proxy.exchange_call import run_call
 from gentianlink.platform import wire
 
+# A target may send nothing until the deadline while it works; TCP keep-alive probes
+# detect a dead connection.
+MAX_SILENCE_MS = math.inf
+
 
-async def send_call(pool, stream, call, buffer, silence_ms):
+async def send_call(pool, stream, call, buffer):
     """Send a call and read its answer.
 
     Parameters
@@ -17,8 +23,6 @@
         The call; its deadline header is set here.
     buffer : AnswerBuffer
         Receives the answer.
-    silence_ms : float
-        Longest time in milliseconds without progress.
 
     Returns
     -------
@@ -35,4 +39,4 @@
     def set_headers(remaining_ms):
         call.headers[wire.DEADLINE_MS] = str(max(1, int(remaining_ms)))
 
-    return await run_call(pool, stream, call, buffer, silence_ms, set_headers)
+    return await run_call(pool, stream, call, buffer, MAX_SILENCE_MS, set_headers)
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -42,9 +42,6 @@
 PROBE_DELAY_S = 0.15
 # Longest idle time in milliseconds of a connection that is opened for a probe.
 NEW_CONNECTION = 0
-# A target may send nothing until the deadline while it works; TCP keep-alive probes
-# detect a dead connection.
-MAX_SILENCE_MS = 30_000
 
 
 class TargetRunner:
@@ -281,7 +278,7 @@
         detector = self._local_target.crash_detector
         dispatch = detector.begin(call, now_ms)
         try:
-            refusal = await send_call(self._pool, stream, call, buffer, MAX_SILENCE_MS)
+            refusal = await send_call(self._pool, stream, call, buffer)
         except (CallerGone, asyncio.CancelledError):
             detector.note_abandoned(dispatch, get_monotonic_ms())
             raise
