Count a crash against a request only until another target completes it

Cause: the node beside the crashed target judges by its own target's completions alone; a request that takes longer than the target is up is never completed there. Two calls of it in flight at one crash use up what is known of it.

Evidence: 'request quarantined' names three crashes of one instance within 2.3 s; at the first of them the same fingerprint is harmless and not harmless.

Change: a node whose target completes a suspected request tells the node that has reported the crash, which withdraws the report; a completion after the verdict ends the verdict and removes its row. Calls of one request are judged as one.

Why it works: a request that crashes targets is completed by none, so evidence against it stays; any other one is completed between two crashes somewhere.

--- a/packages/sidecar/src/gentianlink/sidecar/crash_guard.py
+++ b/packages/sidecar/src/gentianlink/sidecar/crash_guard.py
@@ -32,7 +32,9 @@
         self._on_reports_changed = on_reports_changed
         self._on_quarantined = on_quarantined
         self._metrics = metrics
-        self._quarantine = Quarantine()
+        self._notify = lambda node_id, fingerprint, crash_ids: False
+        self._on_disproved = lambda request: None
+        self._quarantine = Quarantine(self._note_disproved)
         self._completed = CompletedCalls()
         self._own_reports = OwnCrashReports()
 
@@ -51,6 +53,21 @@
         """Number of requests that may be what crashed several targets."""
         return self._quarantine.count_suspects()
 
+    def set_notify(self, notify):
+        """Set the function that tells a node that a suspected request was completed.
+
+        Parameters
+        ----------
+        notify : callable
+            Takes the name of the node, the fingerprint of the request and a list of
+            crash ids; returns whether the completion is evidence about these crashes.
+        """
+        self._notify = notify
+
+    def set_on_disproved(self, on_disproved):
+        """Set the function that is called with each request that passes again."""
+        self._on_disproved = on_disproved
+
     def is_quarantined(self, call):
         """Return whether a call must not be sent to any target."""
         if self._quarantine.is_empty:
@@ -104,11 +121,10 @@
             started_ms=info.started_ms,
             calls=len(calls),
         )
-        suspected = {}
+        # Several calls of one request may be in flight.
+        fingerprints = dict.fromkeys(call.fingerprint for call in calls)
+        harmless = {item for item in fingerprints if self._completed.take(item)}
         for call in calls:
-            is_harmless = self._completed.take(call.fingerprint)
-            if not is_harmless:
-                suspected[call.fingerprint] = None
             _LOG.info(
                 "in flight at a crash",
                 id=call.request_id,
@@ -119,9 +135,10 @@
                 path=call.path,
                 caller=call.caller,
                 body_bytes=call.body_bytes,
-                is_harmless=is_harmless,
+                is_harmless=call.fingerprint in harmless,
             )
-        self._add_own(CrashReport(info.target_id, info.started_ms, tuple(suspected)))
+        suspected = tuple(item for item in fingerprints if item not in harmless)
+        self._add_own(CrashReport(info.target_id, info.started_ms, suspected))
 
     def _add_own(self, report):
         now_ms = get_monotonic_ms()
@@ -129,19 +146,51 @@
             self._learn(report, now_ms)
             self._on_reports_changed()
 
-    def note_completed(self, call):
+    def note_completed(self, call, is_success=True):
         """Record that this node's target has completed a call.
 
         Parameters
         ----------
         call : Call
             The call, which therefore has not crashed the target.
+        is_success : bool, optional
+            Whether the target has done the work; only that is evidence for others.
         """
         fingerprint = compute_fingerprint(call)
         self._completed.note(fingerprint)
         if self._own_reports.withdraw(lambda item: item == fingerprint):
-            _LOG.info("suspicion withdrawn", fingerprint=fingerprint)
-            self._publish_own()
+            self._note_withdrawn(fingerprint, "own")
+        if self._quarantine.is_empty or not is_success:
+            return
+        for node_id, crash_ids in self._quarantine.find_reporters(fingerprint).items():
+            if self._notify(node_id, fingerprint, crash_ids):
+                self._quarantine.note_completed(fingerprint, crash_ids)
+
+    def note_completed_elsewhere(self, fingerprint, crash_ids):
+        """Withdraw a suspicion, as another node's target has completed the request.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        crash_ids : set of tuple
+            Crashes of this node's target that were before that.
+        """
+        if self._own_reports.withdraw(lambda item: item == fingerprint, crash_ids):
+            self._note_withdrawn(fingerprint, "other")
+
+    def _note_withdrawn(self, fingerprint, source):
+        _LOG.info("suspicion withdrawn", fingerprint=fingerprint, completed_by=source)
+        self._metrics.count("suspicions_withdrawn_total", completed_by=source)
+        self._publish_own()
+
+    def _note_disproved(self, request):
+        _LOG.warning(
+            "quarantine disproved", content=request.content, crashes=request.crashes
+        )
+        own_ids = {item.crash_id for item in self._own_reports.reports}
+        if own_ids.intersection(request.crashes):
+            self._on_disproved(request)
 
     def _publish_own(self):
         now_ms = get_monotonic_ms()
@@ -160,21 +209,21 @@
         for report in reports:
             self._add_own(report)
 
-    def learn_reports(self, reports):
+    def learn_reports(self, record):
         """Take the reports of another node into account.
 
         Parameters
         ----------
-        reports : tuple of CrashReport
-            The reports of its record.
+        record : PeerRecord
+            Record of the node.
         """
         now_ms = get_monotonic_ms()
-        for report in reports:
-            self._learn(report, now_ms)
+        for report in record.crashes:
+            self._learn(report, now_ms, record.node_id)
 
-    def _learn(self, report, now_ms):
+    def _learn(self, report, now_ms, node_id=""):
         own_ids = {item.crash_id for item in self._own_reports.reports}
-        for request in self._quarantine.learn(report, now_ms):
+        for request in self._quarantine.learn(report, now_ms, node_id):
             _log_quarantined(request, "crashes")
             if own_ids.intersection(request.crashes):
                 self._on_quarantined(request)
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -90,6 +90,11 @@
         self._quarantine_rows.put(request)
         self._changed.set()
 
+    def remove_quarantined(self, request):
+        """Remove the row of a request that is no longer quarantined soon."""
+        self._quarantine_rows.remove(request)
+        self._changed.set()
+
     async def run(self):
         """Read all rows, then keep this node's row up to date, until cancelled."""
         await self._retry(self._read, "reading node rows failed")
@@ -107,7 +112,8 @@
             is_changed = (
                 _get_persistent_state(self._get_own_record()) != self._written_state
             )
-            if is_changed or self._quarantine_rows.due:
+            rows = self._quarantine_rows
+            if is_changed or rows.due or rows.superseded:
                 await self._retry(self._write, "writing this node's row failed")
 
     async def _wait_for_change(self):
@@ -172,8 +178,11 @@
     async def _write(self):
         own = self._get_own_record()
         due = self._quarantine_rows.due[:MAX_QUARANTINE_ROWS]
-        await self._table.transact([(own.node_id, encode_record(own)), *due])
-        self._quarantine_rows.note_written(due)
+        superseded = self._quarantine_rows.superseded[:MAX_QUARANTINE_ROWS]
+        await self._table.transact(
+            [(own.node_id, encode_record(own)), *due], deletes=superseded
+        )
+        self._quarantine_rows.note_written(due, superseded)
         self._written_state = _get_persistent_state(own)
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
+++ b/packages/sidecar/src/gentianlink/sidecar/own_crash_reports.py
@@ -50,13 +50,15 @@
         self._entries = [*self._entries, _Entry(report, now_ms)][-MAX_REPORTS:]
         return True
 
-    def withdraw(self, is_withdrawn):
+    def withdraw(self, is_withdrawn, crash_ids=None):
         """Remove calls from the reports.
 
         Parameters
         ----------
         is_withdrawn : callable
             Takes a fingerprint, returns whether it is removed.
+        crash_ids : set of tuple, optional
+            Crashes whose reports may change; by default all.
 
         Returns
         -------
@@ -66,6 +68,8 @@
         before = self._entries
         self._entries = [
             attrs.evolve(entry, report=_withdraw(entry.report, is_withdrawn))
+            if crash_ids is None or entry.report.crash_id in crash_ids
+            else entry
             for entry in before
         ]
         return self._entries != before
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine.py
@@ -6,7 +6,9 @@
 
 - a crash at which an already quarantined request was in flight is explained by it;
 - of two requests that were in flight at the same crashes none is quarantined, until
-  they have been together so often that this is no coincidence.
+  they have been together so often that this is no coincidence;
+- a crash says nothing against a request that a target of the service completes later.
+  Such a completion also ends a quarantine.
 
 The decision depends only on the reports, so nodes that know the same reports agree.
 """
@@ -52,12 +54,22 @@
 class _Crash:
     fingerprints: frozenset
     learned_ms: float
+    # Node that has reported it.
+    node_id: str
 
 
 class Quarantine:
-    """Known crashes, and the requests that are quarantined because of them."""
+    """Known crashes, and the requests that are quarantined because of them.
 
-    def __init__(self):
+    Parameters
+    ----------
+    on_disproved : callable, optional
+        Called with each QuarantinedRequest that passes again, because a target has
+        completed it.
+    """
+
+    def __init__(self, on_disproved=lambda request: None):
+        self._on_disproved = on_disproved
         # In the order in which they became known.
         self._crashes = {}
         self._crashes_by_content = {}
@@ -96,7 +108,7 @@
             return False
         return len(self._find_unexplained(content)) >= SUSPECT_CRASHES
 
-    def learn(self, report, now_ms):
+    def learn(self, report, now_ms, node_id=""):
         """Take a report into account, or a newer edition of it with fewer calls.
 
         Parameters
@@ -105,6 +117,8 @@
             The report.
         now_ms : float
             Present time on the monotonic clock in milliseconds.
+        node_id : str, optional
+            Node that has reported the crash.
 
         Returns
         -------
@@ -114,17 +128,70 @@
         known = self._crashes.get(report.crash_id)
         fingerprints = frozenset(report.fingerprints)
         if known is not None:
-            # The node beside the target has seen the missing ones complete since then.
+            # The missing ones were completed by a target since then.
             fingerprints &= known.fingerprints
             if fingerprints == known.fingerprints:
                 return []
-            self._forget_crash(report.crash_id)
-        learned_ms = now_ms if known is None else known.learned_ms
-        self._crashes[report.crash_id] = _Crash(fingerprints, learned_ms)
+            for fingerprint in known.fingerprints - fingerprints:
+                self.note_completed(fingerprint, [report.crash_id])
+            return self._judge_all(fingerprints)
+        self._crashes[report.crash_id] = _Crash(fingerprints, now_ms, node_id)
         for fingerprint in fingerprints:
             content = get_content(fingerprint)
             self._crashes_by_content.setdefault(content, set()).add(report.crash_id)
         self.drop_old(now_ms)
+        return self._judge_all(fingerprints)
+
+    def find_reporters(self, fingerprint):
+        """Return who has reported the crashes that are evidence against a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+
+        Returns
+        -------
+        dict of str to list
+            Ids of the crashes by the name of the node.
+        """
+        reporters = {}
+        for crash_id in self._get_crashes(get_content(fingerprint)):
+            crash = self._crashes[crash_id]
+            if fingerprint in crash.fingerprints:
+                reporters.setdefault(crash.node_id, []).append(crash_id)
+        return reporters
+
+    def note_completed(self, fingerprint, crash_ids):
+        """Drop the evidence against a request that a target has completed.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        crash_ids : iterable of tuple
+            Crashes that were before the completion.
+        """
+        content = get_content(fingerprint)
+        for crash_id in crash_ids:
+            crash = self._crashes.get(crash_id)
+            if crash is None or fingerprint not in crash.fingerprints:
+                continue
+            crash.fingerprints -= {fingerprint}
+            if not any(get_content(item) == content for item in crash.fingerprints):
+                self._remove_crash_of(content, crash_id)
+            request = self._requests.pop(content, None)
+            if request is not None:
+                self._on_disproved(request)
+
+    def _remove_crash_of(self, content, crash_id):
+        crashes = self._get_crashes(content)
+        crashes.discard(crash_id)
+        if not crashes:
+            self._crashes_by_content.pop(content, None)
+
+    def _judge_all(self, fingerprints):
+        """Return the requests that are quarantined now, or for more callers."""
         contents = sorted({get_content(item) for item in fingerprints})
         # All are judged before any is quarantined, which would explain the crashes of
         # the others.
@@ -234,8 +301,4 @@
     def _forget_crash(self, crash_id):
         crash = self._crashes.pop(crash_id)
         for fingerprint in crash.fingerprints:
-            content = get_content(fingerprint)
-            crashes = self._get_crashes(content)
-            crashes.discard(crash_id)
-            if not crashes:
-                self._crashes_by_content.pop(content, None)
+            self._remove_crash_of(get_content(fingerprint), crash_id)
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_rows.py
@@ -36,6 +36,8 @@
         self._own = {}
         self._due = {}
         self._stored = {}
+        # Keys of the rows to remove.
+        self._superseded = set()
 
     @property
     def due(self):
@@ -45,14 +47,36 @@
     def put(self, request):
         """Have the row of a request written."""
         key = get_key(request)
+        self._superseded.discard(key)
         self._own[key] = self._due[key] = encode_request(request)
 
-    def note_written(self, rows):
-        """Record that rows have been written, which may have changed since then."""
+    @property
+    def superseded(self):
+        """Keys of the rows to remove."""
+        return sorted(self._superseded)
+
+    def remove(self, request):
+        """Have the row of a request removed, which a target has completed."""
+        key = get_key(request)
+        for values in (self._own, self._due, self._stored):
+            values.pop(key, None)
+        self._superseded.add(key)
+
+    def note_written(self, rows, removed=()):
+        """Record that rows have been written, which may have changed since then.
+
+        Parameters
+        ----------
+        rows : iterable of tuple of str
+            Keys and values of the rows.
+        removed : iterable of str, optional
+            Keys of the rows that were removed by the same transaction.
+        """
         for key, value in rows:
             self._stored[key] = value
             if self._due.get(key) == value:
                 del self._due[key]
+        self._superseded.difference_update(removed)
 
     def note_restored(self):
         """Record that the table service has returned from a copy that may lack rows."""
@@ -82,6 +106,8 @@
 
     def _load(self, row):
         value = row.value.decode(errors="replace")
+        if row.key in self._superseded:
+            return
         if self._stored.get(row.key) == value:
             return
         try:
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -20,6 +20,7 @@
 from gentianlink.sidecar.call_metrics import CallMetrics
 from gentianlink.sidecar.call_router import CallRouter
 from gentianlink.sidecar.callers.caller_server import CallerServer
+from gentianlink.sidecar.completion_notices import CompletionNotices
 from gentianlink.sidecar.control_endpoint import (
     make_control_handler,
     make_ready_handler,
@@ -98,10 +99,12 @@
             link_mbps=node.link_mbps,
         )
         self._guard = CrashGuard(self._publish, self._store_quarantined, self._metrics)
-        self._directory = PeerDirectory(
-            own, lambda record: self._guard.learn_reports(record.crashes)
-        )
+        self._directory = PeerDirectory(own, self._guard.learn_reports)
         self._datagrams = DatagramEndpoint()
+        notices = CompletionNotices(
+            self._directory, self._datagrams, self._guard.note_completed_elsewhere
+        )
+        self._guard.set_notify(notices.send)
         self._load_view = LoadView()
         self._health = EndpointHealth()
         self._holder = RuleHolder()
@@ -142,6 +145,7 @@
             self._load_row,
             QuarantineRows(self._guard.load, self._guard.lift),
         )
+        self._guard.set_on_disproved(self._rows.remove_quarantined)
         self._feed = RuleFeed(
             self._operator_table,
             self._holder,
--- a/packages/sidecar/src/gentianlink/sidecar/target_runner.py
+++ b/packages/sidecar/src/gentianlink/sidecar/target_runner.py
@@ -282,7 +282,8 @@
         except (CallerGone, asyncio.CancelledError):
             detector.note_abandoned(dispatch, get_monotonic_ms())
             raise
-        self._note_end(detector, dispatch, refusal)
+        is_success = refusal is None and buffer.status < STATUS_SERVER_ERROR
+        self._note_end(detector, dispatch, refusal, is_success)
         return refusal
 
     def _note_arrival(self, hop, now_ms):
@@ -291,11 +292,11 @@
         attempt = "repeat" if hop.is_repeat else "first"
         self._metrics.count("arrivals_total", service=service, attempt=attempt)
 
-    def _note_end(self, detector, dispatch, refusal):
+    def _note_end(self, detector, dispatch, refusal, is_success):
         """Record whether the target has survived a call."""
         now_ms = get_monotonic_ms()
         if refusal is None:
-            self._guard.note_completed(dispatch.call)
+            self._guard.note_completed(dispatch.call, is_success)
             detector.note_answered(dispatch)
         elif refusal.outcome is Outcome.NOT_RUN:
             detector.note_not_executed(dispatch)
--- a/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_crashing_requests.py
@@ -1,15 +1,19 @@
 import asyncio
 import collections
 
+import attrs
 import pytest
 import structlog
+from tornado.httputil import HTTPHeaders
 
+from gentianlink.node.proxy.call import Call
 from gentianlink.platform import wire
 from gentianlink.sidecar import node_rows
+from gentianlink.sidecar.call_fingerprint import summarize_call
 from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
 from gentianlink.testing.faults import Faults
 from gentianlink.testing.scripted_target import make_answer
-from gentianlink.testing.sidecar_world import STARTED_MS, SidecarWorld
+from gentianlink.testing.sidecar_world import HOST, STARTED_MS, SidecarWorld
 
 CRASHING_PATH = "/read/crashes?page=1"
 POPULAR_PATH = "/read/popular"
@@ -24,6 +28,21 @@
 STREAMED_BYTES = 700 * 1024
 
 
+def count_crashes(node):
+    line = 'gentianlink_target_crashes_total{service="inquiry"} '
+    _, _, rest = node.sidecar._render_metrics().decode().partition(line)
+    return int(float(rest.split()[0])) if rest else 0
+
+
+def make_call():
+    headers = HTTPHeaders({"Host": HOST, wire.CALLING_SERVICE: "inquiry"})
+    return Call("GET", POPULAR_PATH, headers, b"", 0.0)
+
+
+def make_summary_of_call():
+    return summarize_call(make_call())
+
+
 class Crashes:
     """Targets of a world that crash when they execute a certain request."""
 
@@ -199,6 +218,62 @@
         run(work)
 
 
+class TestUnstableTarget:
+    # Guards against refusing a popular request for good because one target crashes
+    # again and again, though the others complete it (RECOVER).
+    def test_popular_request_stays_served(self):
+        async def work_long(request, connection):
+            await asyncio.sleep(0.6)
+            return make_answer(request)
+
+        async def work(world, crashes):
+            for node in world.nodes:
+                node.target.set_behaviour(work_long)
+            answers = []
+
+            async def call_popular(number):
+                while True:
+                    node = world.nodes[number % len(world.nodes)]
+                    answers.append(await node.call(POPULAR_PATH, f"popular-{number}"))
+                    number += 100
+
+            callers = [asyncio.create_task(call_popular(item)) for item in range(12)]
+            await asyncio.sleep(0.2)
+            unstable = world.nodes[0]
+            start = 0
+            while count_crashes(unstable) < 4:
+                await asyncio.sleep(0.5)
+                unstable.target.crash()
+                await asyncio.sleep(0.4)
+                start += 1
+                await unstable.target.start()
+                await unstable.send_heartbeat(started_ms=STARTED_MS + start)
+            assert get_quarantined(world) == [0] * len(world.nodes)
+            assert not any(answer.body == b"crashes-targets" for answer in answers)
+            for caller in callers:
+                caller.cancel()
+
+        run(work)
+
+    # Guards against a wrong quarantine that lasts until an operator ends it.
+    def test_request_that_is_completed_passes_again(self):
+        async def work(world, crashes):
+            unstable, other, *_ = world.nodes
+            call = make_summary_of_call()
+            info = unstable.sidecar._local_target.info
+            for start in range(3):
+                crashed = attrs.evolve(info, started_ms=STARTED_MS + 10 + start)
+                unstable.sidecar._guard.note_crash(crashed, [call])
+            await world.wait_until(lambda: all(get_quarantined(world)))
+            await world.wait_until(lambda: not count_due_rows(world))
+            assert get_quarantine_keys(world)
+            other.sidecar._guard.note_completed(make_call())
+            await world.wait_until(lambda: not any(get_quarantined(world)))
+            await world.wait_until(lambda: not get_quarantine_keys(world))
+
+        run(work)
+
+
 class TestQuarantineLasts:
     async def quarantine(self, world, crashes):
         await crash_targets(world, crashes)
--- a/packages/sidecar/src/gentianlink/sidecar/test_quarantine.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_quarantine.py
@@ -132,6 +132,43 @@
         assert len(quarantine._crashes) == MAX_KNOWN_REPORTS
         assert len(quarantine._crashes_by_content) <= MAX_KNOWN_REPORTS
 
+    # Guards against counting crashes against a request that other targets complete.
+    def test_completed_request_is_not_counted_for_the_crashes_before(self):
+        quarantine = Quarantine()
+        popular = make_fingerprint("popular")
+        for number in range(3 * MIN_CRASHES):
+            report = make_report(number, "popular")
+            assert quarantine.learn(report, float(number), "node-1") == []
+            reporters = quarantine.find_reporters(popular)
+            assert reporters == {"node-1": [report.crash_id]}
+            quarantine.note_completed(popular, reporters["node-1"])
+            assert quarantine.find_reporters(popular) == {}
+            # The reporter may repeat the report before it has heard of that.
+            assert quarantine.learn(report, float(number), "node-1") == []
+        assert not quarantine.is_suspect(popular)
+
+    # Guards against a wrong quarantine that only an operator can end.
+    def test_completion_ends_a_quarantine(self):
+        disproved = []
+        quarantine = Quarantine(disproved.append)
+        assert learn(quarantine, *["popular"] * MIN_CRASHES) == ["popular"]
+        [request] = quarantine.requests
+        quarantine.note_completed(make_fingerprint("popular"), [("target-1", 1)])
+        assert disproved == [request]
+        assert not quarantine.is_quarantined(make_fingerprint("popular"))
+
+    def test_report_with_fewer_calls_ends_a_quarantine(self):
+        quarantine = Quarantine()
+        learn(quarantine, *["popular other"] * MIN_COMMON_CRASHES)
+        quarantine.learn(make_report(0, "other"), 9.0)
+        assert [item.content.rstrip("-") for item in quarantine.requests] == ["other"]
+
+    def test_completion_by_another_caller_is_no_evidence(self):
+        quarantine = Quarantine()
+        learn(quarantine, *["bad"] * MIN_CRASHES)
+        quarantine.note_completed(make_fingerprint("bad", "b"), [("target-1", 1)])
+        assert quarantine.is_quarantined(make_fingerprint("bad"))
+
     @given(
         st.lists(
             st.frozensets(st.sampled_from("pqrst"), min_size=1), min_size=1, max_size=12
--- a/packages/sidecar/src/gentianlink/sidecar/test_quarantine_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_quarantine_rows.py
@@ -31,6 +31,23 @@
         rows.note_written(due)
         assert rows.due == [(KEY, encode_request(wider))]
 
+    def test_row_of_a_request_that_a_target_completed_is_removed(self):
+        rows = self.make()
+        rows.put(REQUEST)
+        rows.note_written(rows.due)
+        rows.remove(REQUEST)
+        assert (rows.due, rows.superseded) == ([], [KEY])
+        rows.note_read([ROW], True)
+        assert self.stored == []
+        rows.note_written([], rows.superseded)
+        assert rows.superseded == []
+
+    def test_request_that_is_quarantined_again_is_written_again(self):
+        rows = self.make()
+        rows.remove(REQUEST)
+        rows.put(REQUEST)
+        assert (len(rows.due), rows.superseded) == (1, [])
+
     def test_row_of_another_node_is_loaded_once(self):
         rows = self.make()
         rows.note_read([ROW], True)
--- a/packages/testing/src/gentianlink/testing/exchange_cost.py
+++ b/packages/testing/src/gentianlink/testing/exchange_cost.py
@@ -218,9 +218,7 @@
             target=target,
         )
         guard = CrashGuard(lambda: None, lambda request: None, CallMetrics())
-        self.directory = PeerDirectory(
-            record, lambda record: guard.learn_reports(record.crashes)
-        )
+        self.directory = PeerDirectory(record, guard.learn_reports)
         self.load_view = LoadView()
         self.messages = 0
         self._datagrams = CountedDatagrams(self)
--- a/packages/testing/src/gentianlink/testing/membership_model.py
+++ b/packages/testing/src/gentianlink/testing/membership_model.py
@@ -58,12 +58,11 @@
         name = f"node-{number}"
         data_centre = f"dc-{number % fleet.data_centres}"
         record = PeerRecord(name, incarnation, 0, data_centre, name, name)
-        # Called with the reports on crashes of each record that the node stores.
-        self.on_reports = lambda reports: None
-        self.directory = PeerDirectory(
-            record, lambda record: self.on_reports(record.crashes)
-        )
+        # Called with each record that the node stores.
+        self.on_reports = lambda record: None
+        self.directory = PeerDirectory(record, lambda record: self.on_reports(record))
         self.version = 0
+        self.datagrams = ModelDatagrams(fleet, name)
         self.exchange = PeerExchange(
             self.directory,
             LoadView(),
@@ -71,7 +70,7 @@
             lambda: self.version,
             lambda previous: None,
             ModelConnections(fleet, name),
-            datagrams=ModelDatagrams(fleet, name),
+            datagrams=self.datagrams,
         )
         holder = types.SimpleNamespace()
         self.handle = make_peer_handler(self.exchange, holder, None, None, incarnation)
--- a/packages/testing/src/gentianlink/testing/quarantine_model.py
+++ b/packages/testing/src/gentianlink/testing/quarantine_model.py
@@ -7,10 +7,12 @@
 
 ``python -m gentianlink.testing.quarantine_model`` prints for some numbers of nodes how
 often a crashing request is sent after it has crashed three targets, and whether another
-one is refused.
+one is refused. It also plays days on which targets crash again and again for another
+reason, with a request of which most calls are in flight at each crash.
 """
 
 import asyncio
+import itertools
 import logging
 import random
 from unittest import mock
@@ -25,6 +27,7 @@
 from gentianlink.platform import wire
 from gentianlink.sidecar import crash_guard
 from gentianlink.sidecar.call_metrics import CallMetrics
+from gentianlink.sidecar.completion_notices import CompletionNotices
 from gentianlink.sidecar.crash_detector import CrashDetector
 from gentianlink.sidecar.crash_guard import CrashGuard
 from gentianlink.sidecar.target_info import TargetInfo
@@ -43,11 +46,40 @@
 POPULAR_SHARE = 0.2
 CALLER_RETRIES = 3
 DAY_S = 20.0
+# Time from a crash until the node beside the target notices it.
+DETECTION_S = 0.01
+# Targets that crash for a reason of their own: time up and time down, by turns.
+UNSTABLE_S = (0.3, 0.9)
+UNSTABLE_FROM_S, UNSTABLE_UNTIL_S = 3.0, 12.0
+# The popular request takes longer than such a target is up.
+POPULAR_S = (0.6, 1.4)
 KNOWN_AFTER_S = 3.0
 CRASHES_BEFORE = 3
 SIZES = (11, 48, 89, 195)
 
 
+@attrs.frozen
+class Day:
+    """What happens in a simulated day.
+
+    Attributes
+    ----------
+    has_crashing : bool
+        Whether each service gets a request that crashes its targets.
+    unstable : int
+        Number of targets that crash again and again for another reason.
+    popular_share : float
+        Share of the other calls that ask for the same.
+    services : int
+        Number of services; the targets are split evenly.
+    """
+
+    has_crashing: bool = True
+    unstable: int = 0
+    popular_share: float = POPULAR_SHARE
+    services: int = SERVICES
+
+
 @attrs.define
 class Result:
     """What happened in one simulated day.
@@ -79,18 +111,24 @@
         The node.
     number : int
         Number of the node.
+    services : int
+        Number of services.
     """
 
-    def __init__(self, node, number):
+    def __init__(self, node, number, services):
         self._node = node
         self.name = f"target-{number}"
-        self.service = number % SERVICES
+        self.service = number % services
         self.is_up = True
         self.started_ms = 1
         self._running = {}
         self._suspects = 0
         self._detector = CrashDetector()
         self.guard = CrashGuard(self._publish, lambda request: None, CallMetrics())
+        notices = CompletionNotices(
+            node.directory, node.datagrams, self.guard.note_completed_elsewhere
+        )
+        self.guard.set_notify(notices.send)
 
     @property
     def has_room(self):
@@ -103,6 +141,16 @@
             return False
         return not (self._suspects and self.guard.is_suspect(call))
 
+    def announce(self):
+        """Publish the target in the record of its node."""
+        self._node.directory.update_own(target=self._make_info())
+        self._node.exchange.push()
+
+    def _make_info(self):
+        return TargetInfo(
+            self.name, str(self.service), SLOTS, TargetState.READY, self.started_ms, 1
+        )
+
     def _publish(self):
         self._node.directory.update_own(crashes=self.guard.own_reports)
         self._node.exchange.push()
@@ -122,7 +170,7 @@
         except TimeoutError:
             if is_crashing and self.is_up:
                 detector.note_lost(dispatch, get_virtual_ms())
-                self._crash()
+                self.crash()
                 return False
             detector.note_answered(dispatch)
             self.guard.note_completed(call)
@@ -131,16 +179,20 @@
             del self._running[ended]
             self._suspects -= is_suspect
 
-    def _crash(self):
+    def crash(self):
+        """End the process of the target with all its calls."""
+        # The calls that it executes lose their connections at the same moment.
         self.is_up = False
         for ended in self._running:
             ended.set()
-        info = TargetInfo(
-            self.name, str(self.service), SLOTS, TargetState.READY, self.started_ms, 1
-        )
-        calls = self._detector.take_crash()
-        self._detector = CrashDetector()
-        self.guard.note_crash(info, calls)
+        loop = asyncio.get_running_loop()
+        detector, self._detector = self._detector, CrashDetector()
+        loop.call_later(DETECTION_S, self._report_crash, self._make_info(), detector)
+
+    def _report_crash(self, info, detector):
+        calls = detector.take_crash()
+        if calls:
+            self.guard.note_crash(info, calls)
 
     def restart(self):
         """Start a new process of the target."""
@@ -155,15 +207,19 @@
     ----------
     fleet : ModelFleet
         The nodes.
+    day : Day
+        What happens.
     """
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, day):
+        self._day = day
         self._targets = [
-            ModelTarget(node, number)
+            ModelTarget(node, number, day.services)
             for number, node in enumerate(fleet.nodes.values())
         ]
         for node, target in zip(fleet.nodes.values(), self._targets, strict=True):
             node.on_reports = target.guard.learn_reports
+            target.announce()
         self._crash_times = {}
         self._further = {}
         self._tasks = set()
@@ -182,9 +238,12 @@
         """Run the day and return its result."""
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + DAY_S
-        for service in range(SERVICES):
-            self._start(self._send_crashing(service, ends_s))
+        for service in range(self._day.services):
+            if self._day.has_crashing:
+                self._start(self._send_crashing(service, ends_s))
             self._start(self._send_others(service, ends_s))
+        for target in self._targets[: self._day.unstable]:
+            self._start(self._crash_by_turns(target))
         await asyncio.sleep(DAY_S + 5.0)
         self.result.further = max(self._further.values(), default=0)
         return self.result
@@ -220,6 +279,18 @@
         await asyncio.sleep(random.uniform(*RESTART_S))
         target.restart()
 
+    async def _crash_by_turns(self, target):
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + UNSTABLE_UNTIL_S
+        await asyncio.sleep(UNSTABLE_FROM_S)
+        while loop.time() < ends_s:
+            if target.is_up:
+                target.crash()
+                self.result.crashes += 1
+                await asyncio.sleep(random.uniform(*UNSTABLE_S))
+                target.restart()
+            await asyncio.sleep(random.uniform(*UNSTABLE_S))
+
     async def _measure_known(self, call, since_s):
         loop = asyncio.get_running_loop()
         while not all(target.guard.is_quarantined(call) for target in self._targets):
@@ -233,11 +304,12 @@
         while asyncio.get_running_loop().time() < ends_s:
             await asyncio.sleep(random.expovariate(OTHERS_PER_S * count))
             number += 1
-            is_popular = random.random() < POPULAR_SHARE
+            is_popular = random.random() < self._day.popular_share
             path = f"/popular/{service}" if is_popular else f"/other/{service}/{number}"
-            self._start(self._call_until_answered(path, service))
+            work_s = POPULAR_S if is_popular and self._day.unstable else WORK_S
+            self._start(self._call_until_answered(path, service, work_s))
 
-    async def _call_until_answered(self, path, service):
+    async def _call_until_answered(self, path, service, work_s):
         for _ in range(CALLER_RETRIES):
             call = _make_call(path, service)
             target = self._choose(service)
@@ -248,7 +320,7 @@
                     return
                 is_accepted = target.accepts(call)
                 if is_accepted and await target.execute(
-                    call, random.uniform(*WORK_S), False
+                    call, random.uniform(*work_s), False
                 ):
                     return
             await asyncio.sleep(random.uniform(0.05, 0.5))
@@ -265,7 +337,7 @@
     return Call("GET", path, headers, b"", 0.0)
 
 
-def run_day(count, seed):
+def run_day(count, seed, day=None):
     """Simulate one day.
 
     Parameters
@@ -274,6 +346,8 @@
         Number of nodes.
     seed : int
         Seed of all random choices.
+    day : Day, optional
+        What happens; by default crashing requests only.
 
     Returns
     -------
@@ -282,7 +356,7 @@
     """
 
     async def scenario(fleet):
-        return await CrashDay(fleet).run()
+        return await CrashDay(fleet, day or Day()).run()
 
     with mock.patch.object(crash_guard, "get_monotonic_ms", get_virtual_ms):
         return run_fleet(scenario, count, seed)
@@ -292,10 +366,13 @@
     """Print the worst results of some days for some numbers of nodes."""
     level = logging.ERROR
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(level))
-    for count in SIZES:
-        results = [run_day(count, seed) for seed in range(1, seeds + 1)]
+    unstable = Day(has_crashing=False, unstable=1, popular_share=0.9)
+    days = [("crashing requests", Day()), ("unstable target", unstable)]
+    days.append(("both", attrs.evolve(unstable, has_crashing=True, unstable=2)))
+    for (name, day), count in itertools.product(days, SIZES):
+        results = [run_day(count, seed, day) for seed in range(1, seeds + 1)]
         print(
-            f"{count} nodes, {seeds} seeds: "
+            f"{name}, {count} nodes, {seeds} seeds: "
             f"{max(item.further for item in results)} further sendings at most, "
             f"known everywhere after {max(item.known_s for item in results):.2f} s, "
             f"{max(item.crashes for item in results)} crashes, "
