Acknowledge that a target leaves once that outlives the process

Cause: a process that has just started knows no target, drops the message and answers 200; then it restores the state of the former process, in which the target is ready. An acknowledgement meant 'received'.

Evidence: no line of the process names the message; 'target known from a peer' with state ready follows 0.5 s after it.

Change: departures of unknown targets are remembered, published and stored. What can't be applied gets 409. A restored target has to send a heartbeat within 2 s of the start.

Why it works: whoever takes the place of the process gets the departure from the row or from other nodes, and a target that nobody confirms gets no calls.

--- a/packages/sidecar/src/gentianlink/sidecar/admission/priority_gate.py
+++ b/packages/sidecar/src/gentianlink/sidecar/admission/priority_gate.py
@@ -126,6 +126,10 @@
             self._admission = None
         self._admit_waiting(now_ms)
 
+    def reopen(self):
+        """Admit calls again."""
+        self._close_reason = None
+
     def close(self, reason):
         """Refuse all calls that wait, and all that arrive later.
 
--- a/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_metrics.py
@@ -30,6 +30,7 @@
     "rollout_refusals_total": "Calls that the own gate refused because of a roll-out.",
     "quota_refusals_total": "Calls over a limit of a tenant, by tenant and cause.",
     "quota_takeovers_total": "Windows of tenants taken over from another owner.",
+    "announcements_kept_total": "Announcements of leaving targets, by where kept.",
     "suspicions_withdrawn_total": "Suspected requests that a target has completed.",
     "task_failures_total": "Failures of tasks that were started again, by task.",
     "log_lines_left_out_total": "Log lines that were not written, by cause.",
--- a/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
@@ -8,6 +8,7 @@
 from gentianlink.sidecar.endpoints_server import Reply
 from gentianlink.sidecar.status import (
     STATUS_BAD_REQUEST,
+    STATUS_CONFLICT,
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
 )
@@ -17,50 +18,66 @@
 MAX_LOGGED_BODY_BYTES = 200
 
 
-def make_control_handler(local_target):
+def make_control_handler(local_target, wait_until_kept):
     """Return the handler of the target's heartbeats and of its leave message.
 
+    That a target leaves is acknowledged once it gets no calls and that outlives this
+    process; else the answer says so, and the target announces it again.
+
     Parameters
     ----------
     local_target : LocalTarget
         State of the target, which the messages update.
+    wait_until_kept : callable
+        Coroutine function that takes the name of a target; returns whether the present
+        state is kept outside of this process.
 
     Returns
     -------
     callable
-        Takes method, path and body and returns a Reply.
+        Takes method, path and body and returns a Reply or a coroutine that does.
     """
 
+    async def acknowledge(target_id):
+        if local_target.takes_calls(target_id):
+            return Reply(STATUS_CONFLICT)
+        is_kept = await wait_until_kept(target_id)
+        return Reply(body=b"{}") if is_kept else Reply(STATUS_UNAVAILABLE)
+
     def handle(method, path, body):
         target_id = path.removeprefix(ANNOUNCE_PATH_PREFIX)
         if not path.startswith(ANNOUNCE_PATH_PREFIX) or not target_id:
             return Reply(STATUS_NOT_FOUND)
         if method == "DELETE":
-            local_target.handle_leave(target_id, decode_started_ms(body))
-            return Reply()
+            local_target.handle_leave(target_id, decode_started_ms(body), get_now_ms())
+            return acknowledge(target_id)
         if method != "PUT":
             return Reply(STATUS_NOT_FOUND)
-        return _handle_heartbeat(local_target, target_id, body)
+        heartbeat = _read_heartbeat(local_target, target_id, body)
+        if heartbeat is None:
+            return Reply(STATUS_BAD_REQUEST)
+        local_target.handle_heartbeat(heartbeat, get_monotonic_ms(), get_now_ms())
+        return acknowledge(target_id) if heartbeat.is_draining else Reply(body=b"{}")
 
     return handle
 
 
-def _handle_heartbeat(local_target, target_id, body):
+def _read_heartbeat(local_target, target_id, body):
+    """Return the heartbeat of a body, None if it is not one of this node's target."""
     try:
         heartbeat = decode_heartbeat(target_id, body)
     except CodecError as error:
         start = body[:MAX_LOGGED_BODY_BYTES].decode(errors="replace")
         _LOG.warning("heartbeat refused", target=target_id, why=str(error), body=start)
-        return Reply(STATUS_BAD_REQUEST)
+        return None
     if heartbeat.address != local_target.address:
         _LOG.warning(
             "heartbeat of another address ignored",
             target=target_id,
             address=heartbeat.address,
         )
-        return Reply(STATUS_BAD_REQUEST)
-    local_target.handle_heartbeat(heartbeat, get_monotonic_ms(), get_now_ms())
-    return Reply(body=b"{}")
+        return None
+    return heartbeat
 
 
 def make_ready_handler(is_ready):
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
@@ -58,7 +58,7 @@
         if resource == EXCHANGE_PATH:
             return exchange.answer_exchange(body, form)
         if resource == SYNCHRONISE_PATH:
-            return exchange.answer_synchronise(body, form)
+            return exchange.comparison.answer(body, form)
         if resource.startswith(RULES_PATH_PREFIX):
             version = _parse_version(resource, RULES_PATH_PREFIX)
             return Reply(body=holder.encode_since(version, form))
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
@@ -9,8 +9,6 @@
 import functools
 import random
 
-import orjson
-
 from gentianlink.core.errors import CodecError, PlatformError
 from gentianlink.node.background import start_lasting_task
 from gentianlink.node.clock import get_monotonic_ms
@@ -20,23 +18,16 @@
 from gentianlink.sidecar.exchange.overlay import choose_links
 from gentianlink.sidecar.exchange.peer_codec import (
     FORM_FIRST,
-    decode_buckets,
     decode_message,
-    decode_records,
     encode_message,
-    encode_records,
     parse_message,
 )
 from gentianlink.sidecar.exchange.peer_connections import PeerConnections
 from gentianlink.sidecar.exchange.peer_link import PeerLink
 from gentianlink.sidecar.exchange.peer_message import LostNode, PeerMessage
-from gentianlink.sidecar.exchange.peer_paths import (
-    EXCHANGE_PATH,
-    PREFIXES,
-    SYNCHRONISE_PATH,
-)
+from gentianlink.sidecar.exchange.peer_paths import EXCHANGE_PATH, PREFIXES
 from gentianlink.sidecar.exchange.peer_requests import PeerRequests
-from gentianlink.sidecar.exchange.record_digest import get_bucket
+from gentianlink.sidecar.exchange.record_comparison import RecordComparison
 from gentianlink.sidecar.exchange.record_push import RecordPush, is_urgent
 from gentianlink.sidecar.exchange.record_spread import RecordSpread
 from gentianlink.sidecar.peer_directory import FORGET_MS
@@ -142,6 +133,9 @@
                 lambda record: self._update_record(record, None, is_spread=True),
             )
             self._requests = DatagramRequests(datagrams, self._answer_datagram)
+        self._comparison = RecordComparison(
+            directory, self._connections, self._update_record
+        )
         self._chosen_addresses = set()
         self._is_choice_due = False
         self._push_timer = None
@@ -155,6 +149,48 @@
         """Number of nodes with which state is exchanged."""
         return len(self._links)
 
+    @property
+    def comparison(self):
+        """Comparison of all records with those of another node."""
+        return self._comparison
+
+    @property
+    def own_order(self):
+        """Order of this node's present record."""
+        return self._directory.own.order
+
+    def count_holders(self, order):
+        """Count the nodes that have said that they know this node's record.
+
+        Parameters
+        ----------
+        order : tuple of int
+            Order of the record; later ones count as well.
+
+        Returns
+        -------
+        holders : int
+            Linked nodes that know it.
+        others : int
+            All nodes that are not lost.
+        """
+        orders = [link.acknowledged_order for link in self._links.values()]
+        holders = sum(item is not None and item >= order for item in orders)
+        return holders, len(self._directory.get_live_records())
+
+    def offer_record(self, order):
+        """Begin exchanges with the linked nodes that may not know this node's record.
+
+        Parameters
+        ----------
+        order : tuple of int
+            Order of the record.
+        """
+        for link in self._links.values():
+            known = link.acknowledged_order
+            if not link.is_due and (known is None or known < order):
+                link.wake_for_exchange()
+
     def learn(self, record):
         """Take the record of another node into account.
 
@@ -298,7 +334,7 @@
                 loop.call_later(SECOND_LOOK_S, link.wake_for_exchange)
         is_lasting = link.mismatches >= LASTING_MISMATCHES
         if is_lasting or not (link.is_synchronised or link.form == FORM_FIRST):
-            await self._synchronise(link)
+            await self._comparison.compare(link)
 
     async def _send(self, link, message):
         has_news = message.records or message.lost or message.previous
@@ -346,60 +382,6 @@
         if is_new:
             self._choose_links_soon()
 
-    async def _synchronise(self, link):
-        """Get the records of the buckets in which this node and another one differ."""
-        link.is_synchronised = True
-        link.mismatches = 0
-        body = orjson.dumps(self._directory.digest.buckets)
-        connections = self._connections.get(link.address)
-        try:
-            answer = await connections.send(
-                "POST", PREFIXES[link.form] + SYNCHRONISE_PATH, body
-            )
-            records = decode_records(answer.body) if answer.code == STATUS_OK else []
-        except (PlatformError, CodecError) as error:
-            _LOG.info("records not compared", peer=link.node_id, why=str(error))
-            return
-        buckets = {get_bucket(record.node_id) for record in records}
-        orders = {record.node_id: record.order for record in records}
-        for record in records:
-            self._update_record(record, link)
-        for record in self._directory.get_records():
-            if get_bucket(record.node_id) not in buckets:
-                continue
-            if orders.get(record.node_id, (0, 0)) < record.order:
-                link.records[record.node_id] = record
-
-    def answer_synchronise(self, body, form):
-        """Answer with the records of the buckets that differ from another node's.
-
-        Parameters
-        ----------
-        body : bytes
-            Digests of the other node's buckets.
-        form : int
-            Form of the records that the other node accepts.
-
-        Returns
-        -------
-        Reply
-            The records; bad request if the body can't be decoded.
-        """
-        try:
-            others = decode_buckets(body)
-        except CodecError as error:
-            _LOG.warning("peer message rejected", why=str(error))
-            return Reply(STATUS_BAD_REQUEST)
-        pairs = zip(others, self._directory.digest.buckets, strict=True)
-        differing = {number for number, (a, b) in enumerate(pairs) if a != b}
-        records = [self._directory.own, *self._directory.get_records()]
-        return Reply(
-            body=encode_records(
-                [item for item in records if get_bucket(item.node_id) in differing],
-                form,
-            )
-        )
-
     def _make_message(self, node_id, link, acknowledged_order=None):
         own = self._directory.own
         peer_record = self._directory.get(node_id)
--- a/packages/sidecar/src/gentianlink/sidecar/local_target.py
+++ b/packages/sidecar/src/gentianlink/sidecar/local_target.py
@@ -8,6 +8,7 @@
 from gentianlink.sidecar.admission.named_rate_limit import NamedRateLimit
 from gentianlink.sidecar.admission.priority_gate import PriorityGate
 from gentianlink.sidecar.crash_detector import CrashDetector
+from gentianlink.sidecar.departures import Departures, is_departed, make_departed
 from gentianlink.sidecar.outlier_detector import OutlierDetector
 from gentianlink.sidecar.routing.work_estimator import WorkEstimator
 from gentianlink.sidecar.target_info import TargetInfo
@@ -16,6 +17,9 @@
 
 # Back-off after a failed attempt to connect to the target.
 CONNECT_BACKOFF_MS = 400
+# Time from the start of this node in which a target sends a heartbeat, if it has not
+# announced that it leaves: its period is 1.5 s.
+CONFIRM_MS = 2000.0
 
 
 class LocalTarget:
@@ -30,10 +34,20 @@
     on_crashed : callable
         Called with the target's state and a list of CallSummary, the calls in flight,
         when the process of the target has crashed.
+    service : str, optional
+        Service of the target from the settings.
+    now_ms : float, optional
+        Present time on the monotonic clock in milliseconds.
     """
 
-    def __init__(self, address, on_changed, on_crashed):
+    def __init__(self, address, on_changed, on_crashed, service="", now_ms=0.0):
         self._address = address
+        self._service = service
+        self._confirm_until_ms = now_ms + CONFIRM_MS
+        # Whether the state is that of a former process of this node, and the target
+        # has not confirmed it.
+        self._is_unconfirmed = False
+        self._departures = Departures()
         self._on_changed = on_changed
         self._on_crashed = on_crashed
         self._info = None
@@ -97,7 +111,9 @@
             Whether the heartbeat was applied.
         """
         current = self._info
-        if current is not None and heartbeat.order <= current.order:
+        if current is not None and self._is_old(current, heartbeat):
+            if heartbeat.is_draining and _is_same_process(current, heartbeat):
+                self._note_draining()
             _LOG.info(
                 "old heartbeat ignored",
                 target=heartbeat.target_id,
@@ -111,6 +127,9 @@
                 state = TargetState.LEFT
             elif current.state is TargetState.DRAINING:
                 state = TargetState.DRAINING
+        if self._departures.has_left(heartbeat.target_id, heartbeat.started_ms):
+            state = TargetState.LEFT
+        self._is_unconfirmed = False
         cold_until_ms = int(wall_ms + heartbeat.cold_ms) if heartbeat.cold_ms else 0
         is_failing = (
             current is not None
@@ -135,6 +154,19 @@
         )
         return True
 
+    def _is_old(self, current, heartbeat):
+        if is_departed(current) and current.target_id != heartbeat.target_id:
+            return False
+        return heartbeat.order <= current.order
+
+    def _note_draining(self):
+        if self._info.state in (TargetState.READY, TargetState.STARTING):
+            self._close(TargetState.DRAINING)
+
+    def takes_calls(self, target_id):
+        """Return whether a target of a name, beside this node, gets calls."""
+        return self.is_ready and self._info.target_id == target_id
+
     def _get_work_ms(self, heartbeat):
         """Return the published times, none if another process has started."""
         current = self._info
@@ -142,22 +174,45 @@
             return ()
         return current.work_ms
 
-    def handle_leave(self, target_id, started_ms):
-        """Mark the target as left and close its gate.
+    def handle_leave(self, target_id, started_ms, wall_ms):
+        """Mark a target as left; close its gate if it is the present one.
+
+        The target may be unknown, as this node has just started. Its departure is kept
+        all the same, and published unless another target is known.
 
         Parameters
         ----------
         target_id : str
-            Name of the target that has left; the name of another target is ignored.
+            Name of the target that has left.
         started_ms : int or None
             Start of its process, None if the message did not contain it.
+        wall_ms : int
+            Present time in milliseconds since the epoch.
         """
         current = self._info
-        if current is None or current.target_id != target_id:
-            return
-        if started_ms is not None and started_ms != current.started_ms:
+        if current is not None and current.target_id == target_id:
+            if started_ms is not None and started_ms < current.started_ms:
+                # Late, or the clock was set back between two starts under one name.
+                _LOG.warning(
+                    "departure of another start",
+                    target=target_id,
+                    started_ms=started_ms,
+                    known_ms=current.started_ms,
+                )
+                return
+            until_ms = current.started_ms if started_ms is None else started_ms
+            self._departures.note(target_id, until_ms)
+            self._info = attrs.evolve(current, started_ms=until_ms)
+            if current.state is not TargetState.LEFT:
+                self._close(TargetState.LEFT)
             return
-        self._close(TargetState.LEFT)
+        until_ms = wall_ms if started_ms is None else started_ms
+        known = None if current is None else current.target_id
+        _LOG.info("departure of an unknown target", target=target_id, known=known)
+        self._departures.note(target_id, until_ms)
+        if current is None:
+            self._info = make_departed(target_id, self._service, until_ms)
+            self._on_changed()
 
     def note_leaving(self, target):
         """Close the gate of a target that says in an answer that it leaves.
@@ -183,22 +238,44 @@
             Present time on the monotonic clock in milliseconds.
         """
         current = self._info
-        if current is None or current.started_ms < info.started_ms:
+        if is_departed(info):
+            self._departures.note(info.target_id, info.started_ms)
+        if self._departures.has_left(info.target_id, info.started_ms):
+            info = attrs.evolve(info, state=TargetState.LEFT)
+        if current is None or _is_later(info, current):
             _LOG.info(
                 "target known from a peer",
                 target=info.target_id,
                 state=info.state.value,
                 order=info.order,
             )
-            self._replace(
-                attrs.evolve(info, is_reachable=True, is_failing=False), now_ms
-            )
-        elif current.started_ms == info.started_ms and info.state is not current.state:
-            if info.state is not TargetState.READY:
+            info = attrs.evolve(info, is_reachable=True, is_failing=False)
+            self._replace(info, now_ms)
+            self._is_unconfirmed = info.state is TargetState.READY
+            self.check_confirmed(now_ms)
+        elif _is_same_process(current, info) and info.state is not current.state:
+            if info.state not in (TargetState.READY, TargetState.STARTING):
                 self._close(info.state)
 
+    def check_confirmed(self, now_ms):
+        """Send no calls to a target that has sent no heartbeat since this node started.
+
+        It may have announced to a former process that it leaves.
+
+        Parameters
+        ----------
+        now_ms : float
+            Present time on the monotonic clock in milliseconds.
+        """
+        if self._is_unconfirmed and now_ms >= self._confirm_until_ms:
+            self._is_unconfirmed = False
+            if self.is_ready:
+                _LOG.warning("target not confirmed", target=self._info.target_id)
+                self._close(TargetState.STARTING)
+
     def _close(self, state):
-        _LOG.info("target leaving", target=self._info.target_id, state=state.value)
+        if state is not TargetState.STARTING:
+            _LOG.info("target leaving", target=self._info.target_id, state=state.value)
         self._info = attrs.evolve(self._info, state=state)
         self._gate.close(Reason.DRAINING)
         self._on_changed()
@@ -219,16 +296,18 @@
             if previous is not None:
                 self._check_crashed(previous)
             self._gate.close(Reason.DRAINING)
-            self._gate = PriorityGate(info.slots)
+            self._gate = PriorityGate(max(1, info.slots))
             self._detector = OutlierDetector()
             self._crash_detector = CrashDetector()
             self._rate_limit = NamedRateLimit()
             self._work = WorkEstimator()
             self._unreachable_until_ms = 0.0
         elif previous.slots != info.slots:
-            self._gate.resize(info.slots, now_ms)
+            self._gate.resize(max(1, info.slots), now_ms)
         if info.state is not TargetState.READY:
             self._gate.close(Reason.DRAINING)
+        elif previous is not None and previous.state is TargetState.STARTING:
+            self._gate.reopen()
         if previous is None or _clear_volatile(previous) != _clear_volatile(info):
             if previous is not None and previous.state is not info.state:
                 _LOG.info("target state", target=info.target_id, state=info.state.value)
@@ -336,6 +415,13 @@
         return now_ms >= self._unreachable_until_ms
 
 
+def _is_later(info, current):
+    """Return whether a state of a former process of this node replaces the present."""
+    if is_departed(current) and info.target_id != current.target_id:
+        return True
+    return current.started_ms < info.started_ms
+
+
 def _is_same_process(current, other):
     same_id = current.target_id == other.target_id
     return same_id and current.started_ms == other.started_ms
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -64,6 +64,11 @@
         """Whether the rows of the nodes that have started are read."""
         return self._loaded.is_set()
 
+    @property
+    def is_stored(self):
+        """Whether this node's row holds its present persistent state."""
+        return _get_persistent_state(self._get_own_record()) == self._written_state
+
     async def wait_until_loaded(self, timeout_s):
         """Wait until the rows of the nodes that have started are read.
 
@@ -82,7 +87,7 @@
 
     def note_change(self):
         """Write this node's row soon if its persistent state has changed."""
-        if _get_persistent_state(self._get_own_record()) != self._written_state:
+        if not self.is_stored:
             self._changed.set()
 
     def store_quarantined(self, request):
@@ -109,11 +114,8 @@
                 self._changed.clear()
             else:
                 await self._check_era()
-            is_changed = (
-                _get_persistent_state(self._get_own_record()) != self._written_state
-            )
             rows = self._quarantine_rows
-            if is_changed or rows.due or rows.superseded:
+            if not self.is_stored or rows.due or rows.superseded:
                 await self._retry(self._write, "writing this node's row failed")
 
     async def _wait_for_change(self):
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from gentianlink.node.proxy.connection_pool import ConnectionPool
 from gentianlink.platform.table_client import TableClient
 from gentianlink.platform.wire import NODES_TABLE, OPERATOR_TABLE, STATUS_TABLE
+from gentianlink.sidecar.acknowledgements import Acknowledgements
 from gentianlink.sidecar.call_metrics import CallMetrics
 from gentianlink.sidecar.call_router import CallRouter
 from gentianlink.sidecar.callers.caller_server import CallerServer
@@ -109,7 +110,11 @@
         self._health = EndpointHealth()
         self._holder = RuleHolder()
         self._local_target = LocalTarget(
-            settings.target.address, self._publish, self._guard.note_crash
+            settings.target.address,
+            self._publish,
+            self._guard.note_crash,
+            settings.target.service,
+            get_monotonic_ms(),
         )
         platform = settings.platform
         self._status_table = TableClient(
@@ -146,6 +151,9 @@
             QuarantineRows(self._guard.load, self._guard.lift),
         )
         self._guard.set_on_disproved(self._rows.remove_quarantined)
+        self._acknowledgements = Acknowledgements(
+            self._rows, self._exchange, self._metrics
+        )
         self._feed = RuleFeed(
             self._operator_table,
             self._holder,
@@ -328,9 +336,12 @@
         else:
             self._caller_server.accept_from(listener)
         _listen_on(self._forward_server, listen.forwards)
+        control_handler = make_control_handler(
+            self._local_target, self._acknowledgements.wait_until_kept
+        )
         self._endpoints = [
             serve_endpoint(listen.ready, make_ready_handler(lambda: self.is_ready)),
-            serve_endpoint(listen.control, make_control_handler(self._local_target)),
+            serve_endpoint(listen.control, control_handler),
         ]
         peer_handler = make_peer_handler(
             self._exchange,
@@ -352,6 +363,7 @@
             self._caller_server.sweep,
             self._directory.forget_old,
             self._exchange.sweep,
+            self._local_target.check_confirmed,
             self._local_target.check_failing,
             self._local_target.publish_work,
             self._guard.sweep,
