Check each field of untrusted entries once: type, range and length

What callers may see (a report from other operators, looked for here): one entry that is deeply nested, has a number too large or a port out of range ends tasks of nodes, or makes a target invisible for good.

Cause: decoders checked types, each its own way, and left to the place of use what a value meets later: a socket call, an encoding, an order that nothing later can exceed; the text of an error about a nested value is itself a RecursionError.

Change: core/field_checks.py checks text, integer, number, flag and address; all decoders use it and the same list of errors. Starts far in the future are refused; rows count only under their node's name; a heartbeat of an unknown service does not replace a target of a known one.

Why it works: nothing that passes the decoder can exceed a limit later, and what does not pass is one log line of bounded length.

--- a/packages/platform/src/gentianlink/platform/catalogue_codec.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_codec.py
@@ -3,6 +3,16 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import (
+    MAX_INTEGER,
+    MAX_TEXT_LENGTH,
+    UNREADABLE,
+    check_integer,
+    check_number,
+    check_text,
+    describe,
+    explain,
+)
 from gentianlink.core.rule import Rule
 from gentianlink.core.rule_set import UNLIMITED_BYTES, RuleSet
 from gentianlink.core.service_weight import ServiceWeight
@@ -14,6 +24,8 @@
 KINDS = (KIND_REPEATABLE, "unsafe", "upload")
 DEFAULT_IDLE_TIMEOUT_S = 60
 VERSION_PREFIX = "r"
+# Largest priority and number of attempts.
+MAX_RANK = 1_000_000
 
 
 def decode_rule_set(data):
@@ -38,21 +50,24 @@
     try:
         value = orjson.loads(data)
         version = _decode_version(value["version"])
-        services = frozenset(row["name"] for row in _decode_table(value["services"]))
+        services = frozenset(
+            check_text(row["name"]) for row in _decode_table(value["services"])
+        )
         rows = _decode_table(value["routes"])
         rules = [_decode_rule(row, services) for row in rows]
-        kinds = {str(row["kind"]) for row in rows}
+        kinds = {_name_kind(row["kind"]) for row in rows}
         unknown_kinds = tuple(sorted(kinds.difference(KINDS)))
         limits = value.get("limits") or {}
-        idle_ms = (
-            float(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S) * MS_PER_S
+        idle_s = check_number(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S)
+        idle_ms = idle_s * MS_PER_S
+        max_body_bytes = check_integer(
+            limits.get("max_body_bytes") or UNLIMITED_BYTES, most=UNLIMITED_BYTES
         )
-        max_body_bytes = int(limits.get("max_body_bytes") or UNLIMITED_BYTES)
         tenants = None
         if value.get("tenants") is not None:
             tenants = decode_tenants(_decode_table(value["tenants"]))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
     rules_by_location = {}
     for rule in rules:
         rules_by_location.setdefault((rule.host, rule.prefix), rule)
@@ -67,10 +82,15 @@
     )
 
 
+def _name_kind(kind):
+    """Return a kind as a text; later releases of the platform may have any."""
+    return kind[:MAX_TEXT_LENGTH] if isinstance(kind, str) else describe(kind)
+
+
 def _decode_version(text):
     if not text.startswith(VERSION_PREFIX):
-        raise ValueError(f"malformed version {text!r}")
-    return int(text[len(VERSION_PREFIX) :])
+        raise ValueError(f"malformed version {describe(text)}")
+    return check_integer(int(text[len(VERSION_PREFIX) :]), most=MAX_INTEGER)
 
 
 def _decode_table(table):
@@ -81,25 +101,25 @@
 def _decode_rule(row, services):
     prefix = row["prefix"]
     if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(f"prefix without a slash at both ends: {prefix!r}")
-    timeout_ms = float(row["timeout_s"]) * MS_PER_S
+        raise ValueError(f"prefix without a slash at both ends: {describe(prefix)}")
+    timeout_ms = check_number(row["timeout_s"]) * MS_PER_S
     # Latency objective: an answer within it has its full value. It is not a limit.
     latency_s = row.get("target_latency_s")
-    latency_ms = timeout_ms if latency_s is None else float(latency_s) * MS_PER_S
+    latency_ms = timeout_ms if latency_s is None else check_number(latency_s) * MS_PER_S
     if not (timeout_ms > 0 and latency_ms > 0):
         raise ValueError(
             f"not above 0: timeout {timeout_ms} ms or latency {latency_ms} ms"
         )
     return Rule(
-        name=row["name"],
-        host=row["host"].lower(),
+        name=check_text(row["name"]),
+        host=check_text(row["host"]).lower(),
         prefix=prefix,
         is_repeatable=row["kind"] == KIND_REPEATABLE,
         timeout_ms=timeout_ms,
         target_latency_ms=latency_ms,
-        priority=int(row.get("priority") or 0),
+        priority=check_integer(row.get("priority") or 0, -MAX_RANK, MAX_RANK),
         # Targets that one call may be sent to, including the first one.
-        max_targets=max(1, int(row.get("attempts") or 1)),
+        max_targets=max(1, check_integer(row.get("attempts") or 1, -1, MAX_RANK)),
         split=_decode_split(row, services),
         is_public=row.get("public") is True,
     )
@@ -109,15 +129,14 @@
     items = row.get("traffic_split")
     if items:
         split = tuple(
-            ServiceWeight(item["service"], float(item["weight"])) for item in items
+            ServiceWeight(item["service"], check_number(item["weight"]))
+            for item in items
         )
     else:
         split = (ServiceWeight(row["service"], 1.0),)
     for part in split:
         if part.service not in services:
-            raise ValueError(f"unknown service {part.service!r}")
-        if part.weight < 0:
-            raise ValueError(f"negative weight {part.weight}")
+            raise ValueError(f"unknown service {describe(part.service)}")
     if not sum(part.weight for part in split) > 0:
         raise ValueError("sum of weights is not above 0")
     return split
--- a/packages/platform/src/gentianlink/platform/heartbeat_codec.py
+++ b/packages/platform/src/gentianlink/platform/heartbeat_codec.py
@@ -3,11 +3,22 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import (
+    UNREADABLE,
+    check_address,
+    check_integer,
+    check_number,
+    check_text,
+    describe,
+    explain,
+)
 from gentianlink.core.heartbeat import Heartbeat
 
 MS_PER_S = 1000
 STATE_DRAINING = "draining"
 STATES = ("ready", STATE_DRAINING)
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 1e6
 
 
 def decode_heartbeat(target_id, data):
@@ -28,26 +39,28 @@
     Raises
     ------
     CodecError
-        If a field is missing or has the wrong type, or the state is unknown.
+        If a field is missing, out of range or of the wrong type, or the state is
+        unknown.
     """
     try:
         value = orjson.loads(data)
         state = value["state"]
         if state not in STATES:
-            raise ValueError(f"unknown state {state!r}")
+            raise ValueError(f"unknown state {describe(state)}")
+        cold_s = check_number(value.get("cold_left_s") or 0, most=MAX_COLD_S)
         return Heartbeat(
-            target_id=target_id,
-            service=_check_field(value["service"], str),
-            address=_check_field(value["address"], str),
-            slots=_check_field(value["capacity"], int),
+            target_id=check_text(target_id),
+            service=check_text(value["service"]),
+            address=check_address(value["address"]),
+            slots=check_integer(value["capacity"], most=MAX_SLOTS),
             is_draining=state == STATE_DRAINING,
-            cold_ms=float(value.get("cold_left_s") or 0) * MS_PER_S,
-            started_ms=_check_field(value["born"], int),
-            sequence=_check_field(value["sequence"], int),
-            version=_decode_version(value.get("version")),
+            cold_ms=cold_s * MS_PER_S,
+            started_ms=check_integer(value["born"]),
+            sequence=check_integer(value["sequence"]),
+            version=check_text(value.get("version") or "", may_be_empty=True),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
 
 
 def decode_started_ms(data):
@@ -64,21 +77,6 @@
         Start in milliseconds since the Unix epoch, None if the body has none.
     """
     try:
-        return _check_field(orjson.loads(data)["born"], int)
-    except (KeyError, TypeError, ValueError):
+        return check_integer(orjson.loads(data)["born"])
+    except UNREADABLE:
         return None
-
-
-def _decode_version(value):
-    return "" if value is None else _check_field(value, str)
-
-
-def _check_field(value, expected):
-    # bool is a subclass of int, but not an integer in this format.
-    if not isinstance(value, expected) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not {expected.__name__}")
-    if expected is str and not value:
-        raise ValueError("empty string")
-    if expected is int and value < 0:
-        raise ValueError(f"negative number {value}")
-    return value
--- a/packages/platform/src/gentianlink/platform/rollout_codec.py
+++ b/packages/platform/src/gentianlink/platform/rollout_codec.py
@@ -3,10 +3,19 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import (
+    UNREADABLE,
+    check_number,
+    check_text,
+    describe,
+    explain,
+)
 from gentianlink.core.rollout import RolloutOrder, RolloutPhase
 from gentianlink.platform import wire
 
 MS_PER_S = 1000
+# Ten years; longer roll-outs are mistakes.
+MAX_DURATION_S = 3.2e8
 # Operators know no phase between running and done.
 STATUS_BY_PHASE = {
     RolloutPhase.RUNNING: "running",
@@ -46,15 +55,14 @@
     try:
         value = orjson.loads(data)
         service, version = value["service"], value["to"]
-        duration_ms = float(value["duration_s"]) * MS_PER_S
-        if not (isinstance(version, str) and version):
-            raise ValueError(f"malformed version {version!r}")
-        if service != key.removeprefix(wire.ROLLOUT_KEY_PREFIX):
-            raise ValueError(f"service {service!r} in the row {key!r}")
+        duration_ms = check_number(value["duration_s"], most=MAX_DURATION_S) * MS_PER_S
+        check_text(version)
+        if check_text(service) != key.removeprefix(wire.ROLLOUT_KEY_PREFIX):
+            raise ValueError(f"service {describe(service)} in the row {describe(key)}")
         if not duration_ms > 0:
             raise ValueError(f"duration of {duration_ms} ms")
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
     return RolloutOrder(service, version, duration_ms, revision)
 
 
@@ -97,6 +105,6 @@
     """
     try:
         value = orjson.loads(data)
-        return PHASE_BY_STATUS[value["state"]], str(value["to"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+        return PHASE_BY_STATUS[value["state"]], check_text(value["to"])
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
--- a/packages/platform/src/gentianlink/platform/table_client.py
+++ b/packages/platform/src/gentianlink/platform/table_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's table service."""
 
 import base64
-import binascii
 import urllib.parse
 
 import orjson
@@ -11,6 +10,7 @@
     PlatformAnswerInvalid,
     WriteConflict,
 )
+from gentianlink.core.field_checks import UNREADABLE
 from gentianlink.core.row import Row
 from gentianlink.core.row_change import RowChange
 from gentianlink.core.row_changes import RowChanges
@@ -334,7 +334,7 @@
         key, revision = value["key"], value["ver"]
         is_removed = bool(value.get("tombstone"))
         data = base64.b64decode(value.get("value") or "", validate=True)
-    except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+    except UNREADABLE as error:
         raise PlatformAnswerInvalid("malformed row") from error
     if not isinstance(key, str) or not isinstance(revision, int):
         raise PlatformAnswerInvalid("malformed row")
--- a/packages/platform/src/gentianlink/platform/tenant_codec.py
+++ b/packages/platform/src/gentianlink/platform/tenant_codec.py
@@ -1,7 +1,10 @@
 """Decoder for the tenants of a catalogue version."""
 
+from gentianlink.core.field_checks import check_integer, check_number, describe
 from gentianlink.core.tenant import Tenant
 
+MAX_RANK = 1_000_000
+
 
 def decode_tenants(rows):
     """Decode the tenants.
@@ -18,7 +21,7 @@
 
     Raises
     ------
-    ValueError, TypeError or KeyError
+    One of ``field_checks.UNREADABLE``
         If a field is malformed, or two tenants share a name or a key. Messages contain
         no keys.
     """
@@ -40,7 +43,7 @@
     name = row["name"]
     keys = row.get("api_keys") or []
     if not (isinstance(name, str) and name):
-        raise ValueError(f"malformed name of a tenant: {name!r}")
+        raise ValueError(f"malformed name of a tenant: {describe(name)}")
     is_valid = isinstance(keys, list) and all(isinstance(k, str) and k for k in keys)
     if not is_valid:
         raise ValueError(f"malformed keys of the tenant {name!r}")
@@ -48,14 +51,16 @@
     return Tenant(
         name=name,
         keys=tuple(dict.fromkeys(keys)),
-        priority=None if priority is None else int(priority),
+        priority=None
+        if priority is None
+        else check_integer(priority, -MAX_RANK, MAX_RANK),
         rate_per_s=_decode_limit(row, "rate_per_s"),
         burst=_decode_limit(row, "burst"),
     )
 
 
 def _decode_limit(row, field):
-    limit = float(row.get(field) or 0)
-    if not 0 <= limit < float("inf"):
-        raise ValueError(f"{field} of {limit} for the tenant {row['name']!r}")
-    return limit
+    try:
+        return check_number(row.get(field) or 0)
+    except ValueError as error:
+        raise ValueError(f"{field} of the tenant {row['name']!r}: {error}") from error
--- a/packages/sidecar/src/gentianlink/sidecar/call_reader.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_reader.py
@@ -1,5 +1,6 @@
 """Read a call sent by a caller or forwarded by another node."""
 
+from gentianlink.core.field_checks import check_number
 from gentianlink.node.proxy.answer_writer import strip_headers
 from gentianlink.node.proxy.call import Call
 from gentianlink.node.proxy.call_reader import CallReader
@@ -9,6 +10,8 @@
 # A body up to this size is buffered whole while the server's budget lasts: until it is
 # complete it holds no slot of a target, and the call can go to another target.
 WHOLE_BODY_BYTES = 512 * 1024
+# A week; estimates that compare the times that callers allow stay exact.
+MAX_WAIT_MS = 6e8
 
 
 class SidecarCallReader(CallReader):
@@ -74,7 +77,6 @@
         Time in milliseconds, None if the header is missing or malformed.
     """
     try:
-        value = float(headers.get(wire.DEADLINE_MS, ""))
+        return check_number(float(headers.get(wire.DEADLINE_MS, "")), most=MAX_WAIT_MS)
     except ValueError:
         return None
-    return value if value >= 0 else None
--- a/packages/sidecar/src/gentianlink/sidecar/completion_notices.py
+++ b/packages/sidecar/src/gentianlink/sidecar/completion_notices.py
@@ -7,9 +7,7 @@
 
 import asyncio
 
-from gentianlink.node.log import get_logger
-
-_LOG = get_logger("crashes")
+from gentianlink.core.field_checks import check_integer, check_text
 
 COMPLETED = "completed"
 # A notice is sent twice, as datagrams may be lost.
@@ -70,13 +68,7 @@
 
     def _receive(self, message, sender):
         fingerprint, crashes = message
-        if not isinstance(fingerprint, str):
-            raise TypeError(f"fingerprint of type {type(fingerprint).__name__}")
-        crash_ids = {_check_crash_id(*item) for item in crashes}
-        self._on_completed(fingerprint, crash_ids)
-
-
-def _check_crash_id(target_id, started_ms):
-    if not isinstance(target_id, str) or type(started_ms) is not int:
-        raise TypeError("crash without the name and the start of a target")
-    return target_id, started_ms
+        crash_ids = {
+            (check_text(name), check_integer(start)) for name, start in crashes
+        }
+        self._on_completed(check_text(fingerprint), crash_ids)
--- a/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/control_endpoint.py
@@ -1,6 +1,7 @@
 """Handle heartbeats of the target beside this node, and the platform's health check."""
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import is_from_future
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.log import get_logger
 from gentianlink.platform.heartbeat_codec import decode_heartbeat, decode_started_ms
@@ -18,7 +19,7 @@
 MAX_LOGGED_BODY_BYTES = 200
 
 
-def make_control_handler(local_target, wait_until_kept):
+def make_control_handler(local_target, wait_until_kept, is_known_service):
     """Return the handler of the target's heartbeats and of its leave message.
 
     That a target leaves is acknowledged once it gets no calls and that outlives this
@@ -31,6 +32,8 @@
     wait_until_kept : callable
         Coroutine function that takes the name of a target; returns whether the present
         state is kept outside of this process.
+    is_known_service : callable
+        Takes the name of a service; returns whether the catalogue has it.
 
     Returns
     -------
@@ -53,7 +56,7 @@
             return acknowledge(target_id)
         if method != "PUT":
             return Reply(STATUS_NOT_FOUND)
-        heartbeat = _read_heartbeat(local_target, target_id, body)
+        heartbeat = _read_heartbeat(local_target, target_id, body, is_known_service)
         if heartbeat is None:
             return Reply(STATUS_BAD_REQUEST)
         local_target.handle_heartbeat(heartbeat, get_monotonic_ms(), get_now_ms())
@@ -62,10 +65,12 @@
     return handle
 
 
-def _read_heartbeat(local_target, target_id, body):
+def _read_heartbeat(local_target, target_id, body, is_known_service):
     """Return the heartbeat of a body, None if it is not one of this node's target."""
     try:
         heartbeat = decode_heartbeat(target_id, body)
+        if is_from_future(heartbeat.started_ms, get_now_ms()):
+            raise CodecError(f"start at {heartbeat.started_ms}, in the future")
     except CodecError as error:
         start = body[:MAX_LOGGED_BODY_BYTES].decode(errors="replace")
         _LOG.warning("heartbeat refused", target=target_id, why=str(error), body=start)
@@ -77,6 +82,16 @@
             address=heartbeat.address,
         )
         return None
+    info = local_target.info
+    is_known = is_known_service(heartbeat.service)
+    if not is_known and info is not None and is_known_service(info.service):
+        # No rule leads to such a target, and the present one would be lost by it.
+        _LOG.warning(
+            "heartbeat of an unknown service ignored",
+            target=target_id,
+            service=heartbeat.service,
+        )
+        return None
     return heartbeat
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/datagrams/datagram_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/datagrams/datagram_endpoint.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from gentianlink.core.field_checks import UNREADABLE, explain
 from gentianlink.node.log import get_logger
 
 _LOG = get_logger("datagrams")
@@ -37,8 +38,8 @@
             Short name of the kind.
         handler : callable
             Called with the message, a list, and the sender's IP address and port. It
-            checks the types of what it uses, and raises ValueError or TypeError if the
-            message is malformed.
+            checks the types of what it uses, and raises one of
+            ``field_checks.UNREADABLE`` if the message is malformed.
         """
         self._handlers[kind] = handler
 
@@ -103,8 +104,8 @@
             handler = self._handlers.get(kind)
             if handler is not None:
                 handler(message, f"{sender[0]}:{sender[1]}")
-        except (ValueError, TypeError) as error:
-            _LOG.warning("datagram rejected", sender=sender[0], why=str(error))
+        except UNREADABLE as error:
+            _LOG.warning("datagram rejected", sender=sender[0], why=explain(error))
 
     def close(self):
         """Close the socket."""
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
@@ -13,6 +13,15 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import (
+    UNREADABLE,
+    check_address,
+    check_flag,
+    check_integer,
+    check_number,
+    check_text,
+    explain,
+)
 from gentianlink.core.rollout import RolloutPhase, RolloutState
 from gentianlink.core.target_state import TargetState
 from gentianlink.node.log import get_logger
@@ -34,6 +43,11 @@
 # Nodes of earlier releases accept the values of a message before this position.
 VALUES_BY_FORM = {FORM_CRASHES: 13, FORM_RECORDS: 13, FORM_FIRST: 8}
 
+# Largest digest of records, and largest number of reports and of calls in one.
+MAX_DIGEST = (1 << 64) - 1
+MAX_REPORTS = 64
+MAX_REPORTED_CALLS = 1024
+
 # Functions that return the values of all fields, by class.
 _GETTERS = {}
 
@@ -150,7 +164,7 @@
     CodecError
         If the data is not a list of as many digests as there are buckets.
     """
-    buckets = _decode(data, lambda values: tuple(_check_type(v, int) for v in values))
+    buckets = _decode(data, lambda values: tuple(_check_digest(v) for v in values))
     if len(buckets) != BUCKETS:
         raise CodecError(f"{len(buckets)} buckets in place of {BUCKETS}")
     return buckets
@@ -203,11 +217,30 @@
     return _decode(data, parse_message)
 
 
+def read_message(values):
+    """Return the message of decoded JSON, for example of a datagram.
+
+    Raises
+    ------
+    CodecError
+        If the values are not those of a message.
+    """
+    return _read(values, parse_message)
+
+
 def _decode(data, parse):
     try:
-        return parse(orjson.loads(data))
-    except (ValueError, TypeError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+        values = orjson.loads(data)
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
+    return _read(values, parse)
+
+
+def _read(values, parse):
+    try:
+        return parse(values)
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
 
 
 def parse_message(values):
@@ -217,19 +250,19 @@
     digest, records, lost, missing_version, holder_id, *rest = rest or NO_RECORDS
     [rollouts] = rest or ((),)
     return PeerMessage(
-        node_id=_check_type(node_id, str),
+        node_id=check_text(node_id),
         order=_parse_order(order),
-        version=_check_type(version, int),
+        version=check_integer(version),
         load=_parse_load(load),
         known_order=_parse_order(known_order),
         record=None if record is None else parse_record(record),
         previous=None if previous is None else parse_record(previous),
-        addresses=tuple(_check_type(address, str) for address in addresses),
-        digest=_check_type(digest, int),
+        addresses=tuple(check_text(address) for address in addresses),
+        digest=_check_digest(digest),
         records=_parse_records(records),
         lost=tuple(parse_lost(item) for item in lost),
-        missing_version=_check_type(missing_version, int),
-        holder_id=_check_type(holder_id, str),
+        missing_version=check_integer(missing_version),
+        holder_id=check_text(holder_id, may_be_empty=True),
         rollouts=tuple(parse_rollout(item) for item in rollouts),
     )
 
@@ -240,8 +273,8 @@
     for item in values:
         try:
             records.append(parse_record(item))
-        except (ValueError, TypeError) as error:
-            _LOG.warning("record of a node unreadable", why=str(error))
+        except UNREADABLE as error:
+            _LOG.warning("record of a node unreadable", why=explain(error))
     return tuple(records)
 
 
@@ -249,21 +282,21 @@
     """Return the state of a roll-out from its list of fields."""
     service, version, revision, step, share, phase, started_ms, duration_ms = values
     return RolloutState(
-        service=_check_type(service, str),
-        version=_check_type(version, str),
-        revision=_check_type(revision, int),
-        step=_check_type(step, int),
-        share=float(share),
+        service=check_text(service),
+        version=check_text(version),
+        revision=check_integer(revision, most=MAX_DIGEST),
+        step=check_integer(step),
+        share=check_number(share, most=1.0),
         phase=RolloutPhase(phase),
-        started_ms=_check_type(started_ms, int),
-        duration_ms=float(duration_ms),
+        started_ms=check_integer(started_ms),
+        duration_ms=check_number(duration_ms),
     )
 
 
 def parse_lost(values):
     """Return the report that a list of values encodes; check their types."""
     node_id, order = values
-    return LostNode(_check_type(node_id, str), _parse_order(order))
+    return LostNode(check_text(node_id), _parse_order(order))
 
 
 def parse_record(values):
@@ -272,25 +305,25 @@
     peer_address, forward_address, link_mbps, is_stopping, target, *rest = rest
     [crashes] = rest or ((),)
     return PeerRecord(
-        node_id=_check_type(node_id, str),
-        incarnation=_check_type(incarnation, int),
-        sequence=_check_type(sequence, int),
-        data_centre=_check_type(data_centre, str),
-        peer_address=_check_type(peer_address, str),
-        forward_address=_check_type(forward_address, str),
-        link_mbps=_check_type(link_mbps, float),
-        is_stopping=_check_type(is_stopping, bool),
+        node_id=check_text(node_id),
+        incarnation=check_integer(incarnation),
+        sequence=check_integer(sequence),
+        data_centre=check_text(data_centre),
+        peer_address=check_address(peer_address),
+        forward_address=check_address(forward_address),
+        link_mbps=check_number(link_mbps),
+        is_stopping=check_flag(is_stopping),
         target=None if target is None else _parse_target(target),
-        crashes=tuple(_parse_crash(item) for item in crashes),
+        crashes=tuple(_parse_crash(item) for item in crashes[:MAX_REPORTS]),
     )
 
 
 def _parse_crash(values):
     target_id, started_ms, fingerprints = values
     return CrashReport(
-        _check_type(target_id, str),
-        _check_type(started_ms, int),
-        tuple(_check_type(item, str) for item in fingerprints),
+        check_text(target_id),
+        check_integer(started_ms),
+        tuple(check_text(item) for item in fingerprints[:MAX_REPORTED_CALLS]),
     )
 
 
@@ -299,18 +332,18 @@
     is_reachable, cold_until_ms, is_failing, *rest = rest
     version, work_ms = rest or ("", ())
     return TargetInfo(
-        target_id=_check_type(target_id, str),
-        service=_check_type(service, str),
-        slots=_check_type(slots, int),
+        target_id=check_text(target_id),
+        service=check_text(service),
+        slots=check_integer(slots),
         state=TargetState(state),
-        started_ms=_check_type(started_ms, int),
-        sequence=_check_type(sequence, int),
-        is_reachable=_check_type(is_reachable, bool),
-        cold_until_ms=_check_type(cold_until_ms, int),
-        is_failing=_check_type(is_failing, bool),
-        version=_check_type(version, str),
+        started_ms=check_integer(started_ms),
+        sequence=check_integer(sequence),
+        is_reachable=check_flag(is_reachable),
+        cold_until_ms=check_integer(cold_until_ms),
+        is_failing=check_flag(is_failing),
+        version=check_text(version, may_be_empty=True),
         work_ms=tuple(
-            (_check_type(rule_name, str), _check_type(milliseconds, int))
+            (check_text(rule_name), check_integer(milliseconds))
             for rule_name, milliseconds in work_ms
         ),
     )
@@ -319,18 +352,16 @@
 def _parse_load(values):
     in_flight, waiting, wait_ms = values
     return TargetLoad(
-        _check_type(in_flight, int),
-        _check_type(waiting, int),
-        float(_check_type(wait_ms, float)),
+        check_integer(in_flight),
+        check_integer(waiting),
+        check_number(wait_ms),
     )
 
 
 def _parse_order(values):
     incarnation, sequence = values
-    return _check_type(incarnation, int), _check_type(sequence, int)
+    return check_integer(incarnation), check_integer(sequence)
 
 
-def _check_type(value, expected):
-    if type(value) is not expected:
-        raise TypeError(f"{value!r} is not {expected.__name__}")
-    return value
+def _check_digest(value):
+    return check_integer(value, most=MAX_DIGEST)
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_endpoint.py
@@ -1,9 +1,13 @@
 """HTTP endpoint for the requests of other nodes."""
 
-import math
-
 import orjson
 
+from gentianlink.core.field_checks import (
+    MAX_NUMBER,
+    UNREADABLE,
+    check_number,
+    check_text,
+)
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.endpoints_server import Reply
@@ -91,10 +95,9 @@
     try:
         request = orjson.loads(body)
         request_id, requested = request["id"], request["incarnation"]
-        remaining_ms = float(request["remaining_ms"])
-    except (KeyError, TypeError, ValueError):
-        return Reply(STATUS_BAD_REQUEST)
-    if not isinstance(request_id, str) or not math.isfinite(remaining_ms):
+        check_text(request_id, may_be_empty=True)
+        remaining_ms = check_number(request["remaining_ms"], least=-MAX_NUMBER)
+    except UNREADABLE:
         return Reply(STATUS_BAD_REQUEST)
     # An earlier incarnation may have sent a call that was forwarded to it, and this
     # process can't tell.
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
@@ -11,7 +11,7 @@
 
 from gentianlink.core.errors import CodecError, PlatformError
 from gentianlink.node.background import start_lasting_task
-from gentianlink.node.clock import get_monotonic_ms
+from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.endpoints_server import Reply
 from gentianlink.sidecar.exchange.datagram_requests import DatagramRequests
@@ -21,6 +21,7 @@
     decode_message,
     encode_message,
     parse_message,
+    read_message,
 )
 from gentianlink.sidecar.exchange.peer_connections import PeerConnections
 from gentianlink.sidecar.exchange.peer_link import PeerLink
@@ -31,6 +32,7 @@
 from gentianlink.sidecar.exchange.record_push import RecordPush, is_urgent
 from gentianlink.sidecar.exchange.record_spread import RecordSpread
 from gentianlink.sidecar.peer_directory import FORGET_MS
+from gentianlink.sidecar.peer_record import check_starts
 from gentianlink.sidecar.rollout.rollout_board import RolloutBoard
 from gentianlink.sidecar.status import STATUS_BAD_REQUEST, STATUS_NOT_FOUND, STATUS_OK
 
@@ -208,6 +210,13 @@
         """
         if record.node_id == self._directory.own.node_id:
             return
+        try:
+            check_starts(record, get_now_ms())
+        except CodecError as error:
+            _LOG.warning(
+                "record of a node unreadable", peer=record.node_id, why=str(error)
+            )
+            return
         before = self._directory.get(record.node_id)
         was_lost = self._directory.is_lost(record.node_id)
         previous = self._directory.update_record(record, get_monotonic_ms())
@@ -345,7 +354,7 @@
             values = await self._requests.send(link.address, body)
             if values:
                 link.unanswered = 0
-                return parse_message(values)
+                return read_message(values)
             is_unanswered = values is None
         connections = self._connections.get(link.address)
         while True:
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_requests.py
@@ -3,6 +3,7 @@
 import orjson
 
 from gentianlink.core.errors import PlatformError, PlatformUnavailable
+from gentianlink.core.field_checks import UNREADABLE, check_number
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.exchange.peer_paths import (
@@ -164,6 +165,6 @@
     try:
         value = orjson.loads(answer.body)
         is_of_call = value["id"] == request_id
-        return float(value["covered_ms"]) if is_of_call else 0.0
-    except (KeyError, TypeError, ValueError):
+        return check_number(value["covered_ms"]) if is_of_call else 0.0
+    except UNREADABLE:
         return 0.0
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/record_push.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/record_push.py
@@ -14,6 +14,7 @@
 import attrs
 import orjson
 
+from gentianlink.core.field_checks import UNREADABLE, explain
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.exchange.peer_codec import (
@@ -262,8 +263,8 @@
             return link is not None and link.note_known(node_id, order)
         try:
             record = parse_record(values)
-        except (ValueError, TypeError) as error:
-            _LOG.warning("record of a node unreadable", why=str(error))
+        except UNREADABLE as error:
+            _LOG.warning("record of a node unreadable", why=explain(error))
             return False
         # Passed on as it came.
         self._encoded[node_id] = record, orjson.dumps(values)
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/record_spread.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/record_spread.py
@@ -16,6 +16,7 @@
 
 import orjson
 
+from gentianlink.core.field_checks import UNREADABLE, explain
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.datagrams.datagram_endpoint import (
     MAX_DATAGRAM_BYTES,
@@ -155,8 +156,8 @@
             return
         try:
             record = parse_record(values)
-        except (ValueError, TypeError) as error:
-            _LOG.warning("record of a node unreadable", why=str(error))
+        except UNREADABLE as error:
+            _LOG.warning("record of a node unreadable", why=explain(error))
             return
         self._on_record(record)
         if record.data_centre == own.data_centre:
--- a/packages/sidecar/src/gentianlink/sidecar/node_rows.py
+++ b/packages/sidecar/src/gentianlink/sidecar/node_rows.py
@@ -14,8 +14,10 @@
 
 from gentianlink.core.errors import CodecError, HistoryUnavailable, PlatformError
 from gentianlink.node.backoff import compute_backoff_s
+from gentianlink.node.clock import get_now_ms
 from gentianlink.node.log import get_logger
 from gentianlink.sidecar.exchange.peer_codec import decode_record, encode_record
+from gentianlink.sidecar.peer_record import check_starts
 from gentianlink.sidecar.poll_margin import MAX_MARGIN_MS
 from gentianlink.sidecar.quarantine_codec import KEY_PREFIX
 
@@ -159,9 +161,12 @@
             if row.is_removed or row.key.startswith(KEY_PREFIX):
                 continue
             try:
-                self._on_record(decode_record(row.value))
+                record = decode_record(row.value)
+                _check_owner(record, row.key, get_now_ms())
             except CodecError as error:
                 _LOG.warning("node row unreadable", key=row.key, why=str(error))
+                continue
+            self._on_record(record)
         _LOG.info("node rows read", rows=len(changes.rows))
 
     async def _read_changes(self):
@@ -188,6 +193,13 @@
         self._written_state = _get_persistent_state(own)
 
 
+def _check_owner(record, key, wall_ms):
+    """Raise a CodecError if a record can't be what the node of its row has written."""
+    if record.node_id != key:
+        raise CodecError(f"record of {record.node_id}")
+    check_starts(record, wall_ms)
+
+
 def _get_persistent_state(record):
     """Return what of a record is stored, without transient fields."""
     target = record.target
--- a/packages/sidecar/src/gentianlink/sidecar/peer_record.py
+++ b/packages/sidecar/src/gentianlink/sidecar/peer_record.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import is_from_future
 from gentianlink.sidecar.crash_report import CrashReport
 from gentianlink.sidecar.target_info import TargetInfo
 
@@ -49,3 +51,26 @@
     def order(self):
         """Incarnation and sequence; the record with the higher pair is newer."""
         return self.incarnation, self.sequence
+
+
+def check_starts(record, wall_ms):
+    """Check the starts in a record, by which later states are told from earlier ones.
+
+    Parameters
+    ----------
+    record : PeerRecord
+        The record.
+    wall_ms : int
+        Present time in milliseconds since the epoch.
+
+    Raises
+    ------
+    CodecError
+        If the node or its target starts in the future: no true record could replace it.
+    """
+    starts = [record.incarnation]
+    if record.target is not None:
+        starts.append(record.target.started_ms)
+    for started_ms in starts:
+        if is_from_future(started_ms, wall_ms):
+            raise CodecError(f"start at {started_ms}, in the future")
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
@@ -4,6 +4,7 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import UNREADABLE, check_integer, check_text, explain
 from gentianlink.sidecar.quarantine import QuarantinedRequest
 
 KEY_PREFIX = "quarantine/"
@@ -40,9 +41,12 @@
     try:
         values = orjson.loads(data)
         return QuarantinedRequest(
-            content=str(values["content"]),
-            callers=tuple(str(item) for item in values["callers"]),
-            crashes=tuple((str(name), int(start)) for name, start in values["crashes"]),
+            content=check_text(values["content"]),
+            callers=tuple(check_text(item) for item in values["callers"]),
+            crashes=tuple(
+                (check_text(name), check_integer(start))
+                for name, start in values["crashes"]
+            ),
         )
-    except (ValueError, TypeError, KeyError) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
--- a/packages/sidecar/src/gentianlink/sidecar/rollout/rollouts.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rollout/rollouts.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+from gentianlink.core.field_checks import (
+    MAX_NUMBER,
+    check_integer,
+    check_number,
+    check_text,
+)
 from gentianlink.core.rollout import RolloutPhase
 from gentianlink.node.clock import get_monotonic_ms, get_now_ms
 from gentianlink.node.log import get_logger
@@ -239,15 +245,15 @@
             message
         )
         for value in (service, node_id, version, data_centre):
-            _check(value, str)
+            check_text(value, may_be_empty=True)
         for value in (closed, in_flight):
-            _check(value, int)
+            check_integer(value)
         for rule_name, *values in rules:
-            _check(rule_name, str)
+            check_text(rule_name, may_be_empty=True)
             if len(values) != RULE_VALUES:
                 raise ValueError(f"{len(values)} counts of a rule")
             for value in values:
-                _check(value, int, float)
+                check_number(value, least=-MAX_NUMBER)
         report = EvidenceReport(
             node_id, tuple(stream), version, data_centre, closed, in_flight, rules
         )
@@ -277,7 +283,7 @@
 
     def _receive_state(self, message, sender):
         node_id, fields = message
-        _check(node_id, str)
+        check_text(node_id)
         state = parse_rollout(fields)
         now_ms, _ = self._get_clocks()
         if self._board.merge([state]):
@@ -320,8 +326,3 @@
             "rollouts_running": len(running),
             "rollout_share": max((item.share for item in running), default=0.0),
         }
-
-
-def _check(value, *types):
-    if type(value) not in types:
-        raise TypeError(f"unexpected {value!r}")
--- a/packages/sidecar/src/gentianlink/sidecar/rule_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/rule_codec.py
@@ -10,6 +10,7 @@
 import orjson
 
 from gentianlink.core.errors import CodecError
+from gentianlink.core.field_checks import UNREADABLE, explain
 from gentianlink.core.rule import Rule
 from gentianlink.core.rule_set import UNLIMITED_BYTES
 from gentianlink.core.service_weight import ServiceWeight
@@ -79,8 +80,8 @@
     """
     try:
         return _parse_delta(orjson.loads(zlib.decompress(data)))
-    except (ValueError, TypeError, zlib.error) as error:
-        raise CodecError(f"{type(error).__name__}: {error}") from error
+    except (*UNREADABLE, zlib.error) as error:
+        raise CodecError(explain(error)) from error
 
 
 def _parse_delta(values):
--- a/packages/sidecar/src/gentianlink/sidecar/sidecar.py
+++ b/packages/sidecar/src/gentianlink/sidecar/sidecar.py
@@ -249,6 +249,10 @@
     def _store_quarantined(self, request):
         self._rows.store_quarantined(request)
 
+    def _is_known_service(self, service):
+        rules = self._holder.rules
+        return rules is None or service in rules.services
+
     def _may_have_tenants(self):
         rules = self._holder.rules
         return rules is None or rules.tenants is not None
@@ -337,7 +341,9 @@
             self._caller_server.accept_from(listener)
         _listen_on(self._forward_server, listen.forwards)
         control_handler = make_control_handler(
-            self._local_target, self._acknowledgements.wait_until_kept
+            self._local_target,
+            self._acknowledgements.wait_until_kept,
+            self._is_known_service,
         )
         self._endpoints = [
             serve_endpoint(listen.ready, make_ready_handler(lambda: self.is_ready)),
--- a/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_membership_model.py
@@ -46,8 +46,8 @@
 RECOVER_S = 15.0
 LOSS_S = 5.0
 MISS_S = 1.0
-OWN = PeerRecord("node-0", 1, 0, "dc-0", "node-0", "node-0")
-OTHER = PeerRecord("node-1", 5, 2, "dc-0", "node-1", "node-1")
+OWN = PeerRecord("node-0", 1, 0, "dc-0", "node-0:1", "node-0:1")
+OTHER = PeerRecord("node-1", 5, 2, "dc-0", "node-1:1", "node-1:1")
 
 
 class TestCost:
--- a/packages/testing/src/gentianlink/testing/membership_model.py
+++ b/packages/testing/src/gentianlink/testing/membership_model.py
@@ -34,6 +34,7 @@
 from gentianlink.sidecar.target_load import TargetLoad
 from gentianlink.testing.virtual_loop import get_virtual_ms, run_virtual
 
+PORT = 7620
 DELAY_S = 0.001
 REST_S = 12.0
 SAMPLE_S = 0.01
@@ -41,6 +42,16 @@
 DATA_CENTRES = 5
 
 
+def make_address(name):
+    """Return the address of a node."""
+    return f"{name}:{PORT}"
+
+
+def get_name(address):
+    """Return the name of the node with an address."""
+    return address.partition(":")[0]
+
+
 class ModelNode:
     """A node's membership; it has no calls and no target.
 
@@ -57,7 +68,8 @@
     def __init__(self, fleet, number, incarnation):
         name = f"node-{number}"
         data_centre = f"dc-{number % fleet.data_centres}"
-        record = PeerRecord(name, incarnation, 0, data_centre, name, name)
+        address = make_address(name)
+        record = PeerRecord(name, incarnation, 0, data_centre, address, address)
         # Called with each record that the node stores.
         self.on_reports = lambda record: None
         self.directory = PeerDirectory(record, lambda record: self.on_reports(record))
@@ -93,9 +105,10 @@
 
     def get(self, address):
         """Return an object that sends requests to a node."""
+        name = get_name(address)
 
         async def send(method, path, body=None, timeout_ms=TIMEOUT_MS):
-            return await self._fleet.send(self._own_name, address, method, path, body)
+            return await self._fleet.send(self._own_name, name, method, path, body)
 
         return types.SimpleNamespace(send=send)
 
@@ -131,7 +144,7 @@
     def send_data(self, address, data):
         """Send an encoded message; it may be lost."""
         assert len(data) <= MAX_DATAGRAM_BYTES
-        self._fleet.send_datagram(self._own_name, address, data)
+        self._fleet.send_datagram(self._own_name, get_name(address), data)
 
     def receive(self, data, sender):
         """Give a message to its handler."""
@@ -235,7 +248,7 @@
         if receiver in self.dead:
             self.messages_to_dead += 1
         elif sender not in self.dead:
-            self.datagrams[receiver].receive(data, sender)
+            self.datagrams[receiver].receive(data, make_address(sender))
 
     def _get_data_centre(self, name):
         return self.nodes[name].directory.own.data_centre
