Don't complete a begun answer with the body of an earlier failure

Cause: after a retryable 5xx the next attempt is relayed while it arrives; if it is cut, the router falls back to the kept 5xx whatever was written, and its buffer takes the beginning of the other answer for its own.

Evidence: the bytes after the cut are the body of the earlier failure; with an empty one the end of the chunks makes the part look whole.

Change: the router falls back only while nothing has been sent; a buffer never writes into an answer that it has not begun.

Why it works: at either level the connection is closed, as for any cut answer.

--- a/packages/node/src/gentianlink/node/proxy/errors.py
+++ b/packages/node/src/gentianlink/node/proxy/errors.py
@@ -35,5 +35,9 @@
     """The answer is unframed, so that its end looks like a lost connection."""
 
 
+class OtherAnswerBegun(GentianlinkError):
+    """An answer can't be relayed, as the beginning of another one has been sent."""
+
+
 class BodyIncomplete(GentianlinkError):
     """A call was to be made from a request whose body has not arrived completely."""
--- a/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
+++ b/packages/sidecar/src/gentianlink/sidecar/answer_buffer.py
@@ -2,7 +2,7 @@
 
 from gentianlink.node.clock import get_monotonic_ms
 from gentianlink.node.proxy.answer_writer import strip_headers
-from gentianlink.node.proxy.errors import CallerGone
+from gentianlink.node.proxy.errors import CallerGone, OtherAnswerBegun
 from gentianlink.node.proxy.relayed_answer import (
     STATUSES_WITHOUT_BODY,
     RelayedAnswer,
@@ -38,6 +38,8 @@
         """Forget an answer that belongs to another call."""
         super().reset()
         self._verdict = None
+        # Whether this answer, and not another one, has begun at the caller.
+        self._has_begun = False
         self._chunks = []
         self._size_bytes = 0
 
@@ -108,6 +110,8 @@
         ------
         CallerGone
             If the caller closed its connection.
+        OtherAnswerBegun
+            If the beginning of another answer has been sent.
         """
         await self._write_chunks()
         self._writer.finish()
@@ -115,10 +119,13 @@
     async def _write_chunks(self):
         data = b"".join(self._chunks)
         self._chunks.clear()
-        if self._writer.is_started:
+        if self._has_begun:
             if data:
                 await self._writer.write(data)
             return
+        if self._writer.is_started:
+            raise OtherAnswerBegun("another answer has begun at the caller")
+        self._has_begun = True
         headers = self._headers
         strip_headers(headers)
         self._edit_headers(headers)
--- a/packages/sidecar/src/gentianlink/sidecar/call_router.py
+++ b/packages/sidecar/src/gentianlink/sidecar/call_router.py
@@ -181,11 +181,10 @@
                 break
             if not progress.may_try_another(refusal, rule.is_repeatable):
                 break
-        return (
-            (failed_answer, None)
-            if failed_answer
-            else (None, progress.make_final_refusal())
-        )
+        # An answer that has begun can't be replaced; its connection is closed instead.
+        if failed_answer is not None and not writer.is_started:
+            return failed_answer, None
+        return None, progress.make_final_refusal()
 
     def _make_terms(self, rule, service, started_ms):
         left_ms = rule.target_latency_ms - (get_monotonic_ms() - started_ms)
--- a/packages/sidecar/src/gentianlink/sidecar/test_answers_cut_off.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_answers_cut_off.py
@@ -171,3 +171,89 @@
                 await other.stop()
 
         asyncio.run(run_world())
+
+
+def make_large_answer(request, framing):
+    """Return the beginning of an answer that is relayed while it arrives."""
+    answer = make_answer(request, b"")
+    body = b"a" * LARGE_BYTES
+    if framing == "length":
+        length = f"Content-Length: {2 * LARGE_BYTES}".encode()
+        return answer.replace(b"Content-Length: 0", length) + body
+    if framing == "chunks":
+        head = answer.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        return head + f"{LARGE_BYTES:x}\r\n".encode() + body + b"\r\n"
+    return answer.replace(b"Content-Length: 0\r\n", b"") + body
+
+
+class FailThenBreakOff:
+    """Fails the first call with 500; begins a large answer to the next, and stops."""
+
+    def __init__(self, framing, is_reset, failure):
+        self._framing = framing
+        self._is_reset = is_reset
+        self._failure = failure
+        self.calls = 0
+
+    async def __call__(self, request, connection):
+        """Answer one call."""
+        self.calls += 1
+        if self.calls == 1:
+            return make_answer(request, self._failure, "500 Internal Server Error")
+        connection.writer.write(make_large_answer(request, self._framing))
+        await connection.writer.drain()
+        # The caller has the beginning by then.
+        await asyncio.sleep(0.3)
+        if self._is_reset:
+            connection.reset()
+        await connection.reader.read()
+
+
+async def fill_retry_budget(node):
+    """Make calls through a node to raise its retry budget, a share of its calls."""
+    for number in range(40):
+        await node.call("/read/0", f"before-{number}")
+
+
+class TestAnswerAfterAFailure:
+    # Guards against completing a begun answer with the body of an earlier failure: it
+    # looks like a whole success (MIXED).
+    @pytest.mark.parametrize("framing", ["length", "chunks", "end of the connection"])
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("failure", [b"", b"internal error"])
+    def test_begun_answer_is_not_completed(self, framing, is_reset, failure):
+        async def run_world():
+            async with SidecarWorld(["registry", "inquiry", "inquiry"]) as world:
+                caller, *others = world.nodes
+                await fill_retry_budget(caller)
+                behaviour = FailThenBreakOff(framing, is_reset, failure)
+                for node in others:
+                    node.target.set_behaviour(behaviour)
+                headers = {"Deadline_Ms": "1000"}
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                    await caller.call("/read/1", "id-1", **headers)
+                assert behaviour.calls == 2
+
+        asyncio.run(run_world())
+
+    def test_failure_is_relayed_if_the_next_answer_has_not_begun(self):
+        async def run_world():
+            async with SidecarWorld(["registry", "inquiry", "inquiry"]) as world:
+                caller, *others = world.nodes
+                await fill_retry_budget(caller)
+                calls = []
+
+                async def fail_or_reset(request, connection):
+                    calls.append(request)
+                    if len(calls) == 1:
+                        return make_answer(request, b"no", "500 Internal Server Error")
+                    connection.reset()
+                    return None
+
+                for node in others:
+                    node.target.set_behaviour(fail_or_reset)
+                answer = await caller.call("/read/1", "id-1")
+                assert (answer.status, answer.body) == (500, b"no")
+                assert len(calls) == 2
+
+        asyncio.run(run_world())
