--- a/packages/testing/src/gentianlink/testing/quota_model.py
+++ b/packages/testing/src/gentianlink/testing/quota_model.py
@@ -41,7 +41,11 @@
     STATE_PERIOD_MS,
 )
 from gentianlink.sidecar.tenants.reach_prober import PROBE_MS
-from gentianlink.testing.membership_model import run_fleet
+from gentianlink.testing.membership_model import (
+    get_name,
+    make_address,
+    run_fleet,
+)
 from gentianlink.testing.virtual_loop import get_virtual_ms
 
 BOUNDS = Bounds(quota_overage=0.1, quota_slack=20.0)
@@ -107,7 +111,7 @@
     world : QuotaWorld
         The nodes.
     name : str
-        Name and address of the node.
+        Name of the node.
     """
 
     def __init__(self, world, name):
@@ -134,9 +138,10 @@
             loop.call_later(delay_s, self._deliver, address, data)
 
     def _deliver(self, address, data):
-        if self._world.is_connected(self._name, address):
-            self._world.datagrams_by_name[address].handler(
-                orjson.loads(data)[1], self._name
+        name = get_name(address)
+        if self._world.is_connected(self._name, name):
+            self._world.datagrams_by_name[name].handler(
+                orjson.loads(data)[1], make_address(self._name)
             )
 
 
