--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_exchange.py
@@ -176,7 +176,7 @@
         others : int
             All nodes that are not lost.
         """
-        orders = [link.acknowledged_order for link in self._links.values()]
+        orders = [link.confirmed_order for link in self._links.values()]
         holders = sum(item is not None and item >= order for item in orders)
         return holders, len(self._directory.get_live_records())
 
@@ -189,7 +189,7 @@
             Order of the record.
         """
         for link in self._links.values():
-            known = link.acknowledged_order
+            known = link.confirmed_order
             if not link.is_due and (known is None or known < order):
                 link.wake_for_exchange()
 
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_link.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_link.py
@@ -35,6 +35,9 @@
         self.last_heard_ms = now_ms
         self.failures = 0
         self.acknowledged_order = None
+        # The same as far as the node has said so itself; a reply that carried the
+        # record may have been lost.
+        self.confirmed_order = None
         # What has changed since the last message to the node, by name of the node that
         # it is about.
         self.records = {}
@@ -170,7 +173,7 @@
         """
         self.node_id = node_id
         self.is_heard = True
-        self.acknowledged_order = acknowledged_order
+        self.acknowledged_order = self.confirmed_order = acknowledged_order
         if self.pushed_order is not None and acknowledged_order < self.pushed_order:
             # The datagram was lost.
             self.pushed_order = None
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/record_push.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/record_push.py
@@ -281,6 +281,7 @@
             link.acknowledged_order = max(
                 link.acknowledged_order or (0, 0), flight.own_order
             )
+            link.confirmed_order = max(link.confirmed_order or (0, 0), flight.own_order)
 
     def _check_later(self):
         self._is_check_due = True
