--- a/packages/core/src/gentianlink/core/field_checks.py
+++ b/packages/core/src/gentianlink/core/field_checks.py
@@ -4,9 +4,12 @@
 limit later: that of a socket call, of an encoding, or of a sum of times.
 """
 
+import contextlib
 import math
 import reprlib
 
+from gentianlink.core.errors import CodecError
+
 # What reading an untrusted value may raise; deep nesting ends in a RecursionError.
 UNREADABLE = (
     ValueError,
@@ -21,6 +24,8 @@
 MAX_INTEGER = 1 << 53
 MAX_NUMBER = 1e12
 MAX_PORT = 65_535
+# Largest priority, and largest number of attempts.
+MAX_RANK = 1_000_000
 # Time by which a start may lie in the future of this machine's clock.
 MAX_AHEAD_MS = 3_600_000
 
@@ -46,6 +51,20 @@
     return f"{type(error).__name__}: {str(error)[:MAX_TEXT_LENGTH]}"
 
 
+@contextlib.contextmanager
+def decoding():
+    """Raise a CodecError in place of any error of ``UNREADABLE`` within the context."""
+    try:
+        yield
+    except UNREADABLE as error:
+        raise CodecError(explain(error)) from error
+
+
+def name_word(value):
+    """Return a word that may be of any type in later releases as a text."""
+    return value[:MAX_TEXT_LENGTH] if isinstance(value, str) else describe(value)
+
+
 def check_text(value, longest=MAX_TEXT_LENGTH, may_be_empty=False):
     """Return a value if it is a text of an acceptable length.
 
@@ -94,6 +113,19 @@
     return value
 
 
+def check_rank(value):
+    """Return a value if it is an integer that suits a priority or a small number.
+
+    Raises
+    ------
+    TypeError
+        If it is no integer.
+    ValueError
+        If it is out of range.
+    """
+    return check_integer(value, -MAX_RANK, MAX_RANK)
+
+
 def check_number(value, least=0.0, most=MAX_NUMBER):
     """Return a number within a range as a float; bool is not accepted.
 
--- a/packages/platform/src/gentianlink/platform/catalogue_codec.py
+++ b/packages/platform/src/gentianlink/platform/catalogue_codec.py
@@ -2,16 +2,14 @@
 
 import orjson
 
-from gentianlink.core.errors import CodecError
 from gentianlink.core.field_checks import (
-    MAX_INTEGER,
-    MAX_TEXT_LENGTH,
-    UNREADABLE,
     check_integer,
     check_number,
+    check_rank,
     check_text,
+    decoding,
     describe,
-    explain,
+    name_word,
 )
 from gentianlink.core.rule import Rule
 from gentianlink.core.rule_set import UNLIMITED_BYTES, RuleSet
@@ -24,8 +22,6 @@
 KINDS = (KIND_REPEATABLE, "unsafe", "upload")
 DEFAULT_IDLE_TIMEOUT_S = 60
 VERSION_PREFIX = "r"
-# Largest priority and number of attempts.
-MAX_RANK = 1_000_000
 
 
 def decode_rule_set(data):
@@ -47,7 +43,7 @@
         If the content is malformed, a rule refers to an undefined service, or two
         tenants share a key.
     """
-    try:
+    with decoding():
         value = orjson.loads(data)
         version = _decode_version(value["version"])
         services = frozenset(
@@ -55,7 +51,7 @@
         )
         rows = _decode_table(value["routes"])
         rules = [_decode_rule(row, services) for row in rows]
-        kinds = {_name_kind(row["kind"]) for row in rows}
+        kinds = {name_word(row["kind"]) for row in rows}
         unknown_kinds = tuple(sorted(kinds.difference(KINDS)))
         limits = value.get("limits") or {}
         idle_s = check_number(limits.get("idle_timeout_s") or DEFAULT_IDLE_TIMEOUT_S)
@@ -66,8 +62,6 @@
         tenants = None
         if value.get("tenants") is not None:
             tenants = decode_tenants(_decode_table(value["tenants"]))
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
     rules_by_location = {}
     for rule in rules:
         rules_by_location.setdefault((rule.host, rule.prefix), rule)
@@ -82,15 +76,10 @@
     )
 
 
-def _name_kind(kind):
-    """Return a kind as a text; later releases of the platform may have any."""
-    return kind[:MAX_TEXT_LENGTH] if isinstance(kind, str) else describe(kind)
-
-
 def _decode_version(text):
     if not text.startswith(VERSION_PREFIX):
         raise ValueError(f"malformed version {describe(text)}")
-    return check_integer(int(text[len(VERSION_PREFIX) :]), most=MAX_INTEGER)
+    return check_integer(int(text[len(VERSION_PREFIX) :]))
 
 
 def _decode_table(table):
@@ -117,9 +106,9 @@
         is_repeatable=row["kind"] == KIND_REPEATABLE,
         timeout_ms=timeout_ms,
         target_latency_ms=latency_ms,
-        priority=check_integer(row.get("priority") or 0, -MAX_RANK, MAX_RANK),
+        priority=check_rank(row.get("priority") or 0),
         # Targets that one call may be sent to, including the first one.
-        max_targets=max(1, check_integer(row.get("attempts") or 1, -1, MAX_RANK)),
+        max_targets=max(1, check_rank(row.get("attempts") or 1)),
         split=_decode_split(row, services),
         is_public=row.get("public") is True,
     )
--- a/packages/platform/src/gentianlink/platform/heartbeat_codec.py
+++ b/packages/platform/src/gentianlink/platform/heartbeat_codec.py
@@ -2,15 +2,14 @@
 
 import orjson
 
-from gentianlink.core.errors import CodecError
 from gentianlink.core.field_checks import (
     UNREADABLE,
     check_address,
     check_integer,
     check_number,
     check_text,
+    decoding,
     describe,
-    explain,
 )
 from gentianlink.core.heartbeat import Heartbeat
 
@@ -42,7 +41,7 @@
         If a field is missing, out of range or of the wrong type, or the state is
         unknown.
     """
-    try:
+    with decoding():
         value = orjson.loads(data)
         state = value["state"]
         if state not in STATES:
@@ -59,8 +58,6 @@
             sequence=check_integer(value["sequence"]),
             version=check_text(value.get("version") or "", may_be_empty=True),
         )
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
 
 
 def decode_started_ms(data):
--- a/packages/platform/src/gentianlink/platform/rollout_codec.py
+++ b/packages/platform/src/gentianlink/platform/rollout_codec.py
@@ -2,13 +2,11 @@
 
 import orjson
 
-from gentianlink.core.errors import CodecError
 from gentianlink.core.field_checks import (
-    UNREADABLE,
     check_number,
     check_text,
+    decoding,
     describe,
-    explain,
 )
 from gentianlink.core.rollout import RolloutOrder, RolloutPhase
 from gentianlink.platform import wire
@@ -52,7 +50,7 @@
     CodecError
         If the value is malformed, or names another service than the key.
     """
-    try:
+    with decoding():
         value = orjson.loads(data)
         service, version = value["service"], value["to"]
         duration_ms = check_number(value["duration_s"], most=MAX_DURATION_S) * MS_PER_S
@@ -61,8 +59,6 @@
             raise ValueError(f"service {describe(service)} in the row {describe(key)}")
         if not duration_ms > 0:
             raise ValueError(f"duration of {duration_ms} ms")
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
     return RolloutOrder(service, version, duration_ms, revision)
 
 
@@ -103,8 +99,6 @@
     CodecError
         If the value is malformed.
     """
-    try:
+    with decoding():
         value = orjson.loads(data)
         return PHASE_BY_STATUS[value["state"]], check_text(value["to"])
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
--- a/packages/platform/src/gentianlink/platform/tenant_codec.py
+++ b/packages/platform/src/gentianlink/platform/tenant_codec.py
@@ -1,10 +1,8 @@
 """Decoder for the tenants of a catalogue version."""
 
-from gentianlink.core.field_checks import check_integer, check_number, describe
+from gentianlink.core.field_checks import check_number, check_rank, describe
 from gentianlink.core.tenant import Tenant
 
-MAX_RANK = 1_000_000
-
 
 def decode_tenants(rows):
     """Decode the tenants.
@@ -51,9 +49,7 @@
     return Tenant(
         name=name,
         keys=tuple(dict.fromkeys(keys)),
-        priority=None
-        if priority is None
-        else check_integer(priority, -MAX_RANK, MAX_RANK),
+        priority=None if priority is None else check_rank(priority),
         rate_per_s=_decode_limit(row, "rate_per_s"),
         burst=_decode_limit(row, "burst"),
     )
--- a/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/exchange/peer_codec.py
@@ -20,6 +20,7 @@
     check_integer,
     check_number,
     check_text,
+    decoding,
     explain,
 )
 from gentianlink.core.rollout import RolloutPhase, RolloutState
@@ -225,22 +226,13 @@
     CodecError
         If the values are not those of a message.
     """
-    return _read(values, parse_message)
+    with decoding():
+        return parse_message(values)
 
 
 def _decode(data, parse):
-    try:
-        values = orjson.loads(data)
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
-    return _read(values, parse)
-
-
-def _read(values, parse):
-    try:
-        return parse(values)
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
+    with decoding():
+        return parse(orjson.loads(data))
 
 
 def parse_message(values):
--- a/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
@@ -3,8 +3,7 @@
 import attrs
 import orjson
 
-from gentianlink.core.errors import CodecError
-from gentianlink.core.field_checks import UNREADABLE, check_integer, check_text, explain
+from gentianlink.core.field_checks import check_integer, check_text
 from gentianlink.sidecar.quarantine import QuarantinedRequest
 
 KEY_PREFIX = "quarantine/"
@@ -38,7 +37,7 @@
     CodecError
         If the data is not an encoded request.
     """
-    try:
+    with decoding():
         values = orjson.loads(data)
         return QuarantinedRequest(
             content=check_text(values["content"]),
@@ -48,5 +47,3 @@
                 for name, start in values["crashes"]
             ),
         )
-    except UNREADABLE as error:
-        raise CodecError(explain(error)) from error
