--- a/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
+++ b/packages/sidecar/src/gentianlink/sidecar/quarantine_codec.py
@@ -3,7 +3,7 @@
 import attrs
 import orjson
 
-from gentianlink.core.field_checks import check_integer, check_text
+from gentianlink.core.field_checks import check_integer, check_text, decoding
 from gentianlink.sidecar.quarantine import QuarantinedRequest
 
 KEY_PREFIX = "quarantine/"
