Refuse an empty version of a heartbeat again; one largest port in core

Four new cases fail without the change. settings and entries use the same constant for the largest port.

--- a/packages/core/src/gentianlink/core/setting_fields.py
+++ b/packages/core/src/gentianlink/core/setting_fields.py
@@ -6,11 +6,12 @@
 
 import attrs
 
+from gentianlink.core.field_checks import MAX_PORT
+
 PARSE = "parse"
 ALLOWED = "allowed"
 RELOADABLE = "reloadable"
 
-MAX_PORT = 65_535
 NAME_ALLOWED = "1 to 64 letters, digits, '.', '_' or '-', first a letter or digit"
 _INTEGER = re.compile(r"-?[0-9]{1,18}")
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
--- a/packages/platform/src/gentianlink/platform/heartbeat_codec.py
+++ b/packages/platform/src/gentianlink/platform/heartbeat_codec.py
@@ -46,6 +46,7 @@
         state = value["state"]
         if state not in STATES:
             raise ValueError(f"unknown state {describe(state)}")
+        version = value.get("version")
         cold_s = check_number(value.get("cold_left_s") or 0, most=MAX_COLD_S)
         return Heartbeat(
             target_id=check_text(target_id),
@@ -56,7 +57,7 @@
             cold_ms=cold_s * MS_PER_S,
             started_ms=check_integer(value["born"]),
             sequence=check_integer(value["sequence"]),
-            version=check_text(value.get("version") or "", may_be_empty=True),
+            version="" if version is None else check_text(version),
         )
 
 
--- a/packages/sidecar/src/gentianlink/sidecar/test_odd_entries.py
+++ b/packages/sidecar/src/gentianlink/sidecar/test_odd_entries.py
@@ -190,6 +190,12 @@
                 if result is not None:
                     check(result)
 
+    # Guards against taking a version of a wrong type for a missing one.
+    @pytest.mark.parametrize("version", ["", 0, False, []])
+    def test_empty_version_of_a_heartbeat_is_refused(self, version):
+        with pytest.raises(CodecError):
+            decode_heartbeat("i-1", orjson.dumps(HEARTBEAT | {"version": version}))
+
     @pytest.mark.parametrize("name", THINGS)
     @given(data=st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
     def test_bytes_that_are_no_entry_are_refused(self, name, data):
